--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,67 @@
+#include "suites.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <functional>
+#include <iostream>
+#include <map>
+
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr int usageError = 2;
+
+const std::map<std::string, std::function<bench::suite_result(const bench::bench_arguments &)>> &suites()
+{
+    static const std::map<std::string, std::function<bench::suite_result(const bench::bench_arguments &)>> all{
+        {"path", bench::measurePath},
+    };
+    return all;
+}
+
+int measure(const std::string &suite, const bench::bench_arguments &arguments, const std::string &json)
+{
+    const auto found = suites().find(suite);
+    if (found == suites().end()) {
+        std::cerr << "flamingo-bench: no suite is named '" << suite << "'\n";
+        return usageError;
+    }
+    const bench::suite_result result = found->second(arguments);
+    printTable(result);
+    if (!json.empty() && !writeJson(result, json)) {
+        std::cerr << "flamingo-bench: cannot write " << json << "\n";
+        return 1;
+    }
+    return result.rows.empty() ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    bench::bench_arguments arguments;
+    std::string suite;
+    std::string json;
+    po::options_description options("flamingo-bench SUITE: measures; suites are demo and those of docs/PROOFS.md");
+    options.add_options()("help,h", "print this text")("suite", po::value(&suite), "suite")(
+        "seed", po::value(&arguments.seed), "first seed")("seeds", po::value(&arguments.seeds), "number of seeds")(
+        "seconds", po::value(&arguments.seconds), "length of a load")("json", po::value(&json), "write the figures to a file")(
+        "svg", po::value(&arguments.svg), "judge: write the picture to a file")("entries", po::value(&arguments.entries),
+                                                                                "demo: IP:PORT,IP:PORT,... of entry VMs");
+    po::positional_options_description positional;
+    positional.add("suite", 1);
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), values);
+        po::notify(values);
+    } catch (const po::error &failure) {
+        std::cerr << "flamingo-bench: " << failure.what() << "\n";
+        return usageError;
+    }
+    if (values.count("help") != 0 || suite.empty()) {
+        std::cout << options;
+        return suite.empty() && values.count("help") == 0 ? usageError : 0;
+    }
+    return suite == "demo" ? bench::runDemo(arguments) : measure(suite, arguments, json);
+}
--- /dev/null
+++ b/bench/suites.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "bench_result.hpp"
+
+#include <string>
+
+namespace bench {
+
+/// Arguments common to all suites.
+struct bench_arguments
+{
+    std::uint64_t seed = 1;
+    int seeds = 20; ///< Runs of a seeded suite, from the seed upwards.
+    int seconds = 5;
+    std::string entries; ///< demo: IP:PORT list joined by commas.
+    std::string svg; ///< judge: file for the picture.
+};
+
+/// Sends work of all ranks to a running fleet and prints how it went.
+int runDemo(const bench_arguments &arguments);
+
+/// Time that the proxy adds to a request, against direct calls in the same run.
+suite_result measurePath(const bench_arguments &arguments);
+
+} // namespace bench
--- /dev/null
+++ b/src/flamingo/commands.cpp
@@ -0,0 +1,298 @@
+#include "commands.hpp"
+
+#include "flamingofield.hpp"
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace flamingo {
+
+namespace po = boost::program_options;
+using nlohmann::json;
+
+namespace {
+
+constexpr flamingofield::milliseconds queryTimeout{2000};
+
+constexpr const char *usage = R"(flamingo reads the state of a fleet; it changes nothing.
+
+  flamingo check FILE                      check an operator's text
+  flamingo explain FILE METHOD PATH        which route, service and rank a request gets
+  flamingo status --node IP:PORT           configuration and members as one node sees them
+  flamingo targets --node IP:PORT          backend servers as every node judges them
+  flamingo report burn --node IP:PORT      service-level burn over the fleet
+
+)";
+
+struct arguments
+{
+    std::vector<std::string> words;
+    std::string output;
+    std::string node;
+    std::string html;
+};
+
+int complain(const std::string &text)
+{
+    std::cerr << "flamingo: " << text << "\n";
+    return usageError;
+}
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+flamingofield::checked_text load(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        return std::vector<flamingofield::text_fault>{{0, "", "the file cannot be read"}};
+    }
+    return flamingofield::parseOperatorText(*text);
+}
+
+int printFaults(const std::vector<flamingofield::text_fault> &faults, const std::string &path, bool isJson)
+{
+    json rows = json::array();
+    for (const auto &fault : faults) {
+        rows.push_back({{"line", fault.line}, {"key", fault.key}, {"reason", fault.reason}});
+        if (!isJson) {
+            std::cerr << describe(fault, path) << "\n";
+        }
+    }
+    if (isJson) {
+        std::cout << json{{"file", path}, {"faults", rows}}.dump(2) << "\n";
+    }
+    return failure;
+}
+
+int check(const arguments &given)
+{
+    if (given.words.size() != 2) {
+        return complain("check takes one FILE");
+    }
+    const bool isJson = given.output == "json";
+    const auto text = load(given.words[1]);
+    if (!text) {
+        return printFaults(text.error(), given.words[1], isJson);
+    }
+    const auto &t = text.value();
+    if (isJson) {
+        std::cout << json{{"file", given.words[1]},
+                          {"faults", json::array()},
+                          {"version", t.version},
+                          {"services", t.services.size()},
+                          {"routes", t.routes.size()}}
+                         .dump(2)
+                  << "\n";
+    } else {
+        std::cout << given.words[1] << ": version " << t.version << ", " << t.services.size() << " services, " << t.routes.size()
+                  << " routes, no faults\n";
+    }
+    return success;
+}
+
+int explain(const arguments &given)
+{
+    if (given.words.size() != 4) {
+        return complain("explain takes FILE METHOD PATH");
+    }
+    const auto text = load(given.words[1]);
+    if (!text) {
+        return printFaults(text.error(), given.words[1], given.output == "json");
+    }
+    const auto &t = text.value();
+    const int index = flamingofield::route_table(t.routes).match(given.words[2], given.words[3]);
+    if (index < 0) {
+        std::cerr << "flamingo: no route for " << given.words[2] << " " << given.words[3] << "\n";
+        return failure;
+    }
+    const auto &route = t.routes[static_cast<std::size_t>(index)];
+    const auto &rank = t.ranks[static_cast<std::size_t>(findRank(t, route.rank))];
+    const auto &service = t.services[static_cast<std::size_t>(findService(t, route.service))];
+    const json row{{"route", route.method + " " + route.path},
+                   {"service", route.service},
+                   {"rank", route.rank},
+                   {"deadlineMs", rank.deadline.count()},
+                   {"guaranteedShare", rank.guaranteedShare},
+                   {"idempotent", route.idempotent},
+                   {"slots", declaredSlots(service)},
+                   {"floorSlots", service.floorSlots}};
+    if (given.output == "json") {
+        std::cout << row.dump(2) << "\n";
+        return success;
+    }
+    for (const auto &[key, value] : row.items()) {
+        std::cout << key << ": " << (value.is_string() ? value.get<std::string>() : value.dump()) << "\n";
+    }
+    return success;
+}
+
+std::optional<flamingofield::endpoint> nodeOf(const arguments &given)
+{
+    const auto node = flamingofield::parseEndpoint(given.node);
+    if (!node) {
+        complain("--node '" + given.node + "': " + node.error().reason);
+        return std::nullopt;
+    }
+    return node.value();
+}
+
+void printStatus(const json &page)
+{
+    const auto &config = page["config"];
+    std::cout << "serving: " << (page["serving"].get<bool>() ? "yes" : "no") << "\nversion: " << config["version"] << " (revision "
+              << config["revision"] << ", from " << config["source"].get<std::string>() << ", "
+              << config["inForceForMs"].get<long long>() / 1000 << " s ago)\n";
+    for (const auto &refused : config["refused"]) {
+        std::cout << "refused: version " << refused["version"] << " from " << refused["source"].get<std::string>() << ": "
+                  << refused["reason"].get<std::string>() << "\n";
+    }
+    for (const auto &node : page["nodes"]) {
+        std::cout << "node " << node["gate"].get<std::string>() << " " << node["dataCentre"].get<std::string>() << " "
+                  << node["state"].get<std::string>() << (node["leaving"].get<bool>() ? " leaving" : "") << "\n";
+    }
+}
+
+int status(const arguments &given)
+{
+    const auto node = nodeOf(given);
+    if (!node) {
+        return usageError;
+    }
+    const auto page = flamingofield::readStatus(*node, queryTimeout);
+    if (!page) {
+        std::cerr << "flamingo: " << describe(page.error()) << "\n";
+        return failure;
+    }
+    if (given.output == "json") {
+        std::cout << page.value() << "\n";
+    } else {
+        printStatus(json::parse(page.value()));
+    }
+    return success;
+}
+
+int targets(const arguments &given)
+{
+    const auto node = nodeOf(given);
+    if (!node) {
+        return usageError;
+    }
+    const auto pages = flamingofield::readFleet(*node, queryTimeout);
+    if (!pages) {
+        std::cerr << "flamingo: " << describe(pages.error()) << "\n";
+        return failure;
+    }
+    json rows = json::array();
+    for (const auto &p : pages.value()) {
+        const json page = json::parse(p.page, nullptr, false);
+        for (const auto &service : page.is_object() ? page["services"] : json::array()) {
+            for (auto target : service["member"].get<bool>() ? service["targets"] : json::array()) {
+                target["service"] = service["name"];
+                target["node"] = p.admin;
+                rows.push_back(target);
+            }
+        }
+    }
+    if (given.output == "json") {
+        std::cout << rows.dump(2) << "\n";
+        return success;
+    }
+    for (const auto &row : rows) {
+        std::printf("%-12s %-22s %-22s %-11s evidence %6.2f weight %.2f in use %d of %d\n", row["service"].get<std::string>().c_str(),
+                    row["address"].get<std::string>().c_str(), row["node"].get<std::string>().c_str(),
+                    row["state"].get<std::string>().c_str(), row["evidence"].get<double>(), row["weight"].get<double>(),
+                    row["inUse"].get<int>(), row["allowed"].get<int>());
+    }
+    return success;
+}
+
+int reportBurn(const arguments &given)
+{
+    if (given.words.size() != 2 || given.words[1] != "burn") {
+        return complain("report takes: burn");
+    }
+    const auto node = nodeOf(given);
+    if (!node) {
+        return usageError;
+    }
+    const auto pages = flamingofield::readFleet(*node, queryTimeout);
+    if (!pages) {
+        std::cerr << "flamingo: " << describe(pages.error()) << "\n";
+        return failure;
+    }
+    flamingofield::burn_report report;
+    for (const auto &p : pages.value()) {
+        const bool isRead = !p.page.empty() && addStatus(report, p.page);
+        (isRead ? report.answered : report.missing).push_back(p.admin);
+    }
+    if (!given.html.empty()) {
+        std::ofstream(given.html) << toHtml(report);
+    }
+    std::cout << (given.output == "json" ? toJson(report) + "\n" : toTable(report));
+    return report.missing.empty() ? success : failure;
+}
+
+} // namespace
+
+int run(int argc, const char *const *argv)
+{
+    po::options_description options("Flags");
+    arguments given;
+    options.add_options()("help,h", "print this text")("version", "print the version")(
+        "output", po::value(&given.output)->default_value("text"), "text or json")("node", po::value(&given.node),
+                                                                                   "IP:PORT of a node's admin address")(
+        "html", po::value(&given.html), "report: also write an HTML page to this file")("word", po::value(&given.words), "");
+    po::positional_options_description positional;
+    positional.add("word", -1);
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), values);
+        po::notify(values);
+    } catch (const po::error &problem) {
+        return complain(problem.what());
+    }
+    if (values.count("help") != 0) {
+        std::cout << usage << options;
+        return success;
+    }
+    if (values.count("version") != 0) {
+        std::cout << "flamingo 0.1.0\n";
+        return success;
+    }
+    if (given.output != "text" && given.output != "json") {
+        return complain("--output '" + given.output + "': expected text or json");
+    }
+    const std::string command = given.words.empty() ? "" : given.words.front();
+    if (command == "check") {
+        return check(given);
+    }
+    if (command == "explain") {
+        return explain(given);
+    }
+    if (command == "status") {
+        return status(given);
+    }
+    if (command == "targets") {
+        return targets(given);
+    }
+    if (command == "report") {
+        return reportBurn(given);
+    }
+    std::cerr << usage;
+    return usageError;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/flamingo/main.cpp
@@ -0,0 +1,6 @@
+#include "commands.hpp"
+
+int main(int argc, char **argv)
+{
+    return flamingo::run(argc, argv);
+}
--- /dev/null
+++ b/src/flamingofield/admit/service_gate.cpp
@@ -0,0 +1,164 @@
+#include "admit/service_gate.hpp"
+
+namespace flamingofield {
+
+const char *describe(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::queueFull:
+        return "the queue of this rank is full";
+    case refusal_reason::displaced:
+        return "the place in the queue went to a caller that holds fewer";
+    case refusal_reason::deadline:
+        return "the deadline could not be met";
+    case refusal_reason::noTarget:
+        return "no backend server takes work";
+    }
+    return "refused";
+}
+
+service_gate::service_gate(rank_queue_limits limits, double retryRatio)
+    : m_limits(std::move(limits))
+    , m_queue(m_limits)
+    , m_retries(retryRatio)
+{
+}
+
+slot_result service_gate::acquire(const slot_request &request)
+{
+    std::unique_lock lock(m_mutex);
+    const instant now = std::chrono::steady_clock::now();
+    if (now + m_serviceTime >= request.deadline) {
+        return slot_refusal{refusal_reason::deadline};
+    }
+    if (!m_ledger.hasEligible() && !request.pick.mayTry) {
+        return slot_refusal{refusal_reason::noTarget};
+    }
+    if (m_queue.isIdle()) {
+        if (const auto target = m_ledger.pick(request.pick)) {
+            m_queue.countGrant(request.rank, request.caller, now);
+            return slot_grant{*target};
+        }
+    }
+    const std::uint64_t id = m_nextId++;
+    const offer_result offered = m_queue.offer({id, request.rank, request.caller, request.deadline});
+    if (!offered.accepted) {
+        return slot_refusal{refusal_reason::queueFull};
+    }
+    if (offered.displaced) {
+        refuse(*offered.displaced, refusal_reason::displaced);
+    }
+    return await(lock, request, id);
+}
+
+slot_result service_gate::await(std::unique_lock<std::mutex> &lock, const slot_request &request, std::uint64_t id)
+{
+    parked self;
+    m_parked.emplace(id, &self);
+    m_picks.emplace(id, request.pick);
+    dispatch(std::chrono::steady_clock::now());
+    const instant lastStart = request.deadline - m_serviceTime;
+    self.wake.wait_until(lock, lastStart, [&] { return self.answer.has_value(); });
+    if (!self.answer) {
+        m_queue.remove(id);
+        self.answer = slot_refusal{refusal_reason::deadline};
+    }
+    m_parked.erase(id);
+    m_picks.erase(id);
+    return *self.answer;
+}
+
+void service_gate::refuse(std::uint64_t id, refusal_reason reason)
+{
+    const auto found = m_parked.find(id);
+    if (found != m_parked.end()) {
+        found->second->answer = slot_refusal{reason};
+        found->second->wake.notify_one();
+    }
+}
+
+void service_gate::dispatch(instant now)
+{
+    for (const auto &late : m_queue.expire(now, m_serviceTime)) {
+        refuse(late.id, refusal_reason::deadline);
+    }
+    while (!m_queue.isIdle()) {
+        // A slot is taken first, so that a waiter leaves its queue only when it can go on.
+        const auto target = m_ledger.pick({});
+        if (!target) {
+            return;
+        }
+        const auto next = m_queue.take(now);
+        const auto found = m_parked.find(next->id);
+        const std::uint64_t excluded = m_picks[next->id].excluded;
+        const bool wasTried = *target < 64 && ((excluded >> *target) & 1U) != 0;
+        found->second->answer = wasTried ? slot_result(slot_refusal{refusal_reason::noTarget}) : slot_result(slot_grant{*target});
+        if (wasTried) {
+            m_ledger.release(*target, false, false);
+        }
+        found->second->wake.notify_one();
+    }
+}
+
+void service_gate::release(std::size_t target, bool succeeded, bool shed)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.release(target, succeeded, shed);
+    dispatch(std::chrono::steady_clock::now());
+}
+
+void service_gate::update(const std::function<void(slot_ledger &)> &change)
+{
+    const std::lock_guard lock(m_mutex);
+    change(m_ledger);
+    dispatch(std::chrono::steady_clock::now());
+}
+
+std::size_t service_gate::indexOf(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto [found, added] = m_indices.emplace(address, m_addresses.size());
+    if (added) {
+        m_addresses.push_back(address);
+        m_ledger.at(found->second);
+    }
+    return found->second;
+}
+
+std::vector<std::string> service_gate::addresses() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_addresses;
+}
+
+void service_gate::setServiceTime(duration serviceTime)
+{
+    const std::lock_guard lock(m_mutex);
+    m_serviceTime = serviceTime;
+}
+
+double service_gate::demand() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ledger.inUse() + static_cast<double>(m_queue.size());
+}
+
+std::size_t service_gate::waiting(int rank) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.sizeOf(rank);
+}
+
+void service_gate::depositRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    m_retries.deposit();
+}
+
+bool service_gate::withdrawRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_retries.withdraw();
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/admit/slot_ledger.cpp
@@ -0,0 +1,98 @@
+#include "admit/slot_ledger.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingofield {
+
+namespace {
+
+bool isExcluded(const pick_request &request, std::size_t target)
+{
+    return target < 64 && ((request.excluded >> target) & 1U) != 0;
+}
+
+int weightedLimit(const target_slots &t)
+{
+    return t.weight <= 0.0 ? 0 : std::max(1, static_cast<int>(std::floor(t.window.allowed() * std::min(t.weight, 1.0))));
+}
+
+bool hasFreeSlot(const target_slots &t)
+{
+    return t.window.ceiling > 0 && t.inUse < weightedLimit(t);
+}
+
+} // namespace
+
+target_slots &slot_ledger::at(std::size_t target)
+{
+    if (target >= m_targets.size()) {
+        m_targets.resize(target + 1);
+    }
+    return m_targets[target];
+}
+
+std::optional<std::size_t> slot_ledger::pick(const pick_request &request)
+{
+    std::optional<std::size_t> best;
+    double bestLoad = 0.0;
+    const std::size_t count = m_targets.size();
+    for (std::size_t k = 0; k < count; ++k) {
+        const std::size_t i = (k + request.seed) % count;
+        target_slots &t = m_targets[i];
+        if (isExcluded(request, i)) {
+            continue;
+        }
+        if (t.trialDue && request.mayTry && t.inUse == 0) {
+            t.trialDue = false;
+            best = i;
+            break;
+        }
+        const double load = t.weight > 0.0 ? (t.inUse + 1) / (t.weight * t.window.allowed()) : 0.0;
+        if (hasFreeSlot(t) && (!best || load < bestLoad)) {
+            best = i;
+            bestLoad = load;
+        }
+    }
+    if (best) {
+        ++m_targets[*best].inUse;
+    }
+    return best;
+}
+
+void slot_ledger::release(std::size_t target, bool succeeded, bool shed)
+{
+    target_slots &t = m_targets[target];
+    const bool wasFull = t.inUse >= t.window.allowed();
+    --t.inUse;
+    if (shed) {
+        t.window.decrease();
+    } else if (succeeded && wasFull) {
+        t.window.increase();
+    }
+}
+
+bool slot_ledger::hasEligible() const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [](const auto &t) { return t.window.ceiling > 0 && t.weight > 0.0; });
+}
+
+int slot_ledger::allowed() const
+{
+    int sum = 0;
+    for (const auto &t : m_targets) {
+        sum += t.window.ceiling > 0 ? weightedLimit(t) : 0;
+    }
+    return sum;
+}
+
+int slot_ledger::inUse() const
+{
+    int sum = 0;
+    for (const auto &t : m_targets) {
+        sum += t.inUse;
+    }
+    return sum;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/config/dependency_graph.cpp
@@ -0,0 +1,101 @@
+#include "config/dependency_graph.hpp"
+
+#include <algorithm>
+
+namespace flamingofield {
+
+namespace {
+
+class cycle_finder
+{
+public:
+    explicit cycle_finder(const std::vector<service_spec> &services)
+        : m_services(services)
+        , m_states(services.size())
+    {
+    }
+
+    std::vector<std::vector<std::string>> run()
+    {
+        for (std::size_t i = 0; i < m_services.size(); ++i) {
+            if (m_states[i].order < 0) {
+                visit(i);
+            }
+        }
+        return m_cycles;
+    }
+
+private:
+    struct vertex_state
+    {
+        int order = -1;
+        int low = -1;
+        bool onStack = false;
+    };
+
+    std::size_t indexOf(const std::string &name) const
+    {
+        const auto found = std::find_if(m_services.begin(), m_services.end(), [&](const auto &s) { return s.name == name; });
+        return static_cast<std::size_t>(found - m_services.begin());
+    }
+
+    void visit(std::size_t vertex) // NOLINT(misc-no-recursion)
+    {
+        m_states[vertex] = {m_next, m_next, true};
+        ++m_next;
+        m_stack.push_back(vertex);
+        for (const auto &name : m_services[vertex].dependsOn) {
+            const std::size_t other = indexOf(name);
+            if (other == m_services.size()) {
+                continue;
+            }
+            follow(vertex, other);
+        }
+        if (m_states[vertex].low == m_states[vertex].order) {
+            closeComponent(vertex);
+        }
+    }
+
+    void follow(std::size_t vertex, std::size_t other) // NOLINT(misc-no-recursion)
+    {
+        if (m_states[other].order < 0) {
+            visit(other);
+            m_states[vertex].low = std::min(m_states[vertex].low, m_states[other].low);
+        } else if (m_states[other].onStack) {
+            m_states[vertex].low = std::min(m_states[vertex].low, m_states[other].order);
+        }
+    }
+
+    void closeComponent(std::size_t root)
+    {
+        std::vector<std::string> names;
+        std::size_t vertex = root;
+        do {
+            vertex = m_stack.back();
+            m_stack.pop_back();
+            m_states[vertex].onStack = false;
+            names.push_back(m_services[vertex].name);
+        } while (vertex != root);
+        const auto &edges = m_services[root].dependsOn;
+        const bool selfLoop = std::find(edges.begin(), edges.end(), m_services[root].name) != edges.end();
+        if (names.size() > 1 || selfLoop) {
+            std::reverse(names.begin(), names.end());
+            m_cycles.push_back(std::move(names));
+        }
+    }
+
+    const std::vector<service_spec> &m_services;
+    std::vector<vertex_state> m_states;
+    std::vector<std::size_t> m_stack;
+    std::vector<std::vector<std::string>> m_cycles;
+    int m_next = 0;
+};
+
+} // namespace
+
+std::vector<std::vector<std::string>> findDependencyCycles(const std::vector<service_spec> &services)
+{
+    return cycle_finder(services).run();
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/config/operator_text.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace flamingofield {
+
+/// A rank of work; ranks are listed most urgent first.
+struct rank_spec
+{
+    std::string name;
+    milliseconds deadline{1000}; ///< Longest time a request of this rank may take.
+    double worth = 1.0; ///< Weight in reports.
+    double guaranteedShare = 0.0; ///< Share of a service's slots kept while this rank has demand.
+    double objective = 0.99; ///< Share of requests to be served within the deadline.
+};
+
+/// A backend server process that runs one service.
+struct target_spec
+{
+    endpoint address;
+    std::string dataCentre;
+    int slots = 1;
+    int connections = 1;
+};
+
+enum class judge_kind { sequential, consecutive, percentage };
+
+/// A service with its targets and its limits.
+struct service_spec
+{
+    std::string name;
+    std::vector<std::string> dependsOn;
+    int floorSlots = 0; ///< Slots that ejections always leave in service.
+    judge_kind judge = judge_kind::sequential;
+    double falseEjectionsPerTargetDay = 1.0; ///< Accepted wrong ejections of a healthy target a day.
+    double retryRatio = 0.05; ///< Retries allowed per first attempt.
+    std::vector<target_spec> targets;
+};
+
+/// Maps a method and a path pattern to a service and a rank.
+struct route_spec
+{
+    std::string method;
+    std::string path; ///< Segments; "{name}" matches any one segment, a last "**" any rest.
+    std::string service;
+    std::string rank;
+    bool idempotent = false;
+};
+
+/// The operator's whole text after all checks.
+struct operator_text
+{
+    std::uint64_t version = 0;
+    std::string deployment;
+    std::vector<std::string> dataCentres;
+    std::vector<rank_spec> ranks;
+    std::vector<service_spec> services;
+    std::vector<route_spec> routes;
+};
+
+/// One fault of an operator's text.
+struct text_fault
+{
+    int line = 0; ///< 1-based, 0 when the fault concerns the whole file.
+    std::string key;
+    std::string reason;
+};
+
+/// Checked text or every fault found in it.
+using checked_text = BOOST_OUTCOME_V2_NAMESPACE::unchecked<operator_text, std::vector<text_fault>>;
+
+constexpr std::size_t maximumTextBytes = 1U << 20U;
+
+/// Parses and checks a text; all faults are reported together.
+checked_text parseOperatorText(std::string_view text);
+
+/// "file:line: key: reason".
+std::string describe(const text_fault &fault, std::string_view file);
+
+/// @return index of the service, or -1
+int findService(const operator_text &text, std::string_view name);
+
+/// @return index of the rank, 0 being the most urgent, or -1
+int findRank(const operator_text &text, std::string_view name);
+
+/// Declared slots of all targets of a service.
+int declaredSlots(const service_spec &service);
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/config/read_budget.cpp
@@ -0,0 +1,44 @@
+#include "config/read_budget.hpp"
+
+#include <algorithm>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr double rareReadsPerSecond = 150.0; // Of all nodes that hold no watch.
+constexpr double firstReadsPerSecond = 800.0; // In a restart of the whole fleet.
+constexpr milliseconds leastRareInterval{10000};
+constexpr milliseconds readerInterval{250};
+constexpr milliseconds firstBackoff{500};
+constexpr milliseconds mostBackoff{15000};
+constexpr int mostDoublings = 6;
+
+/// Scales a duration by 0.5 to 1.5.
+duration jitter(duration base, std::uint64_t seed)
+{
+    const double factor = 0.5 + static_cast<double>(seed % 1024) / 1024.0;
+    return std::chrono::duration_cast<duration>(base * factor);
+}
+
+} // namespace
+
+read_plan planReads(std::size_t fleetSize, bool isReader, int failures, std::uint64_t seed)
+{
+    const auto share = std::chrono::duration<double>(static_cast<double>(fleetSize) / rareReadsPerSecond);
+    duration interval
+        = isReader ? duration(readerInterval) : std::max<duration>(leastRareInterval, std::chrono::duration_cast<duration>(share));
+    if (failures > 0) {
+        const auto backoff = std::min<duration>(firstBackoff * (1 << std::min(failures - 1, mostDoublings)), mostBackoff);
+        interval = std::max<duration>(interval, backoff);
+    }
+    return {isReader && failures == 0, jitter(interval, seed)};
+}
+
+duration firstReadDelay(std::size_t expectedFleetSize, std::uint64_t seed)
+{
+    const std::chrono::duration<double> spread(static_cast<double>(expectedFleetSize) / firstReadsPerSecond);
+    return std::chrono::duration_cast<duration>(spread * (static_cast<double>(seed % 1024) / 1024.0));
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/config/route_table.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "config/operator_text.hpp"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingofield {
+
+/// Prefix tree over the segments of all routes' paths.
+class route_table
+{
+public:
+    route_table() = default;
+    explicit route_table(const std::vector<route_spec> &routes);
+
+    /// Finds the route of a request; a literal segment goes before a "{name}" segment, and that before "**".
+    /// @return index into the routes, or -1
+    int match(std::string_view method, std::string_view path) const;
+
+private:
+    struct vertex
+    {
+        std::unordered_map<std::string, int> literals;
+        int any = -1;
+        int rest = -1; ///< Route of a final "**".
+        int route = -1;
+    };
+
+    int descend(int vertexIndex, std::string_view rest) const;
+    int childOf(int parent, const std::string &segment);
+
+    std::unordered_map<std::string, int> m_roots; ///< By method.
+    std::vector<vertex> m_vertices;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/config/store_client.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingofield {
+
+/// A text as read from the configuration store.
+struct stored_text
+{
+    std::uint64_t revision = 0;
+    std::string text;
+};
+
+/// An entry of the platform's VM list.
+struct listed_vm
+{
+    endpoint address; ///< Peer address of an entry VM, or the address of a target.
+    bool isLeaving = false;
+};
+
+/// Reads the platform's configuration store and VM list over HTTP; thread-safe, each call waits for its answer.
+class store_client
+{
+public:
+    explicit store_client(endpoint platform);
+    ~store_client();
+    store_client(const store_client &) = delete;
+    store_client &operator=(const store_client &) = delete;
+
+    /// Reads the text if its revision is above the given one.
+    /// @param wait how long the store may hold the call until there is one; 0 for a plain read
+    /// @return the text, none if there is no newer one, or an error of step "read store"
+    result<std::optional<stored_text>> read(std::uint64_t afterRevision, milliseconds wait);
+
+    /// Reads the VM list.
+    result<std::vector<listed_vm>> readVms();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/control/control_plane.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "config/settings.hpp"
+#include "core/error.hpp"
+#include "gate/fleet_snapshot.hpp"
+#include "judge/inflight_table.hpp"
+#include "judge/observation.hpp"
+#include "once/outcome_store.hpp"
+#include "report/counters.hpp"
+#include "report/service_metrics.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace flamingofield {
+
+/// What the control plane shares with the request threads.
+struct control_context
+{
+    settings configuration;
+    std::uint64_t incarnation = 0;
+    snapshot_holder &snapshots;
+    outcome_store &outcomes;
+    observation_queue &observations;
+    inflight_table &inflight;
+    service_metrics &metrics;
+    counter_table &counters;
+};
+
+/// Membership, configuration and judgement of one node, as actors of CAF on one scheduler thread.
+class control_plane
+{
+public:
+    explicit control_plane(control_context context);
+    ~control_plane();
+    control_plane(const control_plane &) = delete;
+    control_plane &operator=(const control_plane &) = delete;
+
+    /// Starts to listen for peers, to read the store and to decide.
+    result<void> start();
+
+    /// Leaves the fleet: the address answers of all nodes drop this one within seconds.
+    void leave();
+
+    /// State of this node as JSON, for operators.
+    std::string status();
+
+    void stop();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/control/control_tables.cpp
@@ -0,0 +1,501 @@
+#include "control/control_tables.hpp"
+
+#include "control/node_status.hpp"
+#include "control/snapshot_builder.hpp"
+#include "core/hash.hpp"
+#include "fleet/service_members.hpp"
+#include "report/log.hpp"
+
+#include <algorithm>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr std::size_t piggybackRecords = 6;
+constexpr std::size_t piggybackWhole = 400; // Records in one message of a whole exchange.
+constexpr std::size_t readersPerDataCentre = 2;
+constexpr milliseconds publishPeriod{1000};
+constexpr milliseconds watchLength{8000};
+constexpr milliseconds configRequestPeriod{300};
+constexpr std::size_t peersAskedAtStart = 3;
+constexpr milliseconds startGrace{2500}; // For peers to tell of a newer text than a stale store holds.
+constexpr milliseconds longestTick{500};
+constexpr milliseconds probePeriod{1000};
+constexpr seconds expiryPeriod{5};
+constexpr double vmReadsPerSecond = 100.0; // Of the whole fleet.
+constexpr seconds leastVmInterval{5};
+
+node_info selfInfo(const control_context &context)
+{
+    node_info info;
+    info.incarnation = context.incarnation;
+    info.peerAddress = context.configuration.advertisedPeer;
+    info.gateAddress = context.configuration.advertisedGate;
+    info.adminAddress = context.configuration.admin;
+    info.dataCentre = context.configuration.dataCentre;
+    return info;
+}
+
+const char *toString(node_state state)
+{
+    constexpr std::array<const char *, 4> names{"alive", "suspect", "dead", "left"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+template<typename... Visitors> struct overloaded : Visitors...
+{
+    using Visitors::operator()...;
+};
+template<typename... Visitors> overloaded(Visitors...) -> overloaded<Visitors...>;
+
+} // namespace
+
+control_tables::control_tables(control_context context, peer_link &link)
+    : m_context(std::move(context))
+    , m_link(link)
+    , m_members(selfInfo(m_context), {}, m_context.incarnation)
+    , m_startedAt(std::chrono::steady_clock::now())
+    , m_seed(m_context.incarnation)
+    , m_nextRead(m_startedAt + firstReadDelay(m_context.configuration.expectedFleet, m_context.incarnation))
+    , m_nextVmRead(m_nextRead)
+{
+    m_members.setHints(m_context.configuration.seeds);
+}
+
+std::uint64_t control_tables::nextSeed()
+{
+    m_seed = hashOf("seed", m_seed);
+    return m_seed;
+}
+
+void control_tables::sendMessage(const endpoint &to, message_body body, std::vector<node_record> records, instant now)
+{
+    peer_message message;
+    message.sender = m_members.self(now);
+    message.config = m_config.stamp();
+    message.digest = m_members.digest();
+    message.records = std::move(records);
+    message.body = std::move(body);
+    const std::string bytes = encodeMessage(message, m_context.configuration.secret);
+    if (m_link.send(to, bytes)) {
+        m_context.counters.add(counter::peerMessagesSent);
+        m_context.counters.add(counter::peerBytesSent, bytes.size());
+    }
+}
+
+void control_tables::perform(const std::vector<membership_action> &actions, instant now)
+{
+    for (const auto &action : actions) {
+        std::visit(overloaded{
+                       [&](const send_heartbeat &a) {
+                           sendMessage(a.to, heartbeat{a.sequence, a.wantsMembers}, m_members.takePiggyback(piggybackRecords), now);
+                       },
+                       [&](const send_indirect &a) {
+                           sendMessage(a.via, indirect_heartbeat{a.sequence, a.target}, {}, now);
+                       },
+                       [&](const send_records &a) {
+                           std::vector<node_record> records
+                               = a.isWhole ? m_members.allRecords() : m_members.takePiggyback(piggybackRecords);
+                           for (std::size_t at = 0; at < std::max<std::size_t>(records.size(), 1); at += piggybackWhole) {
+                               const std::size_t end = std::min(records.size(), at + piggybackWhole);
+                               sendMessage(a.to, member_list{},
+                                           {records.begin() + static_cast<long>(at), records.begin() + static_cast<long>(end)}, now);
+                           }
+                       },
+                   },
+                   action);
+    }
+}
+
+void control_tables::receive(const std::string &bytes, const std::string &peer, instant now)
+{
+    m_context.counters.add(counter::peerMessagesReceived);
+    m_context.counters.add(counter::peerBytesReceived, bytes.size());
+    const auto decoded = decodeMessage(bytes, m_context.configuration.secret, peer);
+    if (!decoded) {
+        m_context.counters.add(counter::peerMessagesRejected);
+        return;
+    }
+    const peer_message &message = decoded.value();
+    if (message.sender.info.incarnation == m_context.incarnation) {
+        return;
+    }
+    for (const auto &record : message.records) {
+        m_members.hear(record, now);
+    }
+    const bool isDoubted = m_members.hearSender(message.sender, now);
+    if (isDoubted) {
+        const member_row *row = m_members.find(message.sender.info.incarnation);
+        sendMessage(message.sender.info.peerAddress, member_list{}, {row->record}, now);
+    }
+    m_members.hearDigest(message.sender.info.incarnation, message.digest, now);
+    noteStamp(message, now);
+    handleBody(message, now);
+}
+
+void control_tables::noteStamp(const peer_message &message, instant now)
+{
+    m_heardStamps[message.sender.info.incarnation] = message.config;
+    if (m_highestHeard < message.config) {
+        m_highestHeard = message.config;
+        m_highestHeardFrom = message.sender.info.peerAddress;
+        m_lastConfigRequest = {};
+        requestConfig(now);
+    }
+}
+
+void control_tables::requestConfig(instant now)
+{
+    if (!(m_config.stamp() < m_highestHeard) || now - m_lastConfigRequest < configRequestPeriod) {
+        return;
+    }
+    m_lastConfigRequest = now;
+    sendMessage(m_highestHeardFrom, config_request{m_config.stamp()}, {}, now);
+}
+
+void control_tables::handleBody(const peer_message &message, instant now)
+{
+    const endpoint &from = message.sender.info.peerAddress;
+    std::visit(overloaded{
+                   [&](const heartbeat &b) {
+                       sendMessage(from, heartbeat_ack{b.sequence}, m_members.takePiggyback(piggybackRecords), now);
+                       if (b.wantsMembers) {
+                           perform({send_records{from, true}}, now);
+                       }
+                   },
+                   [&](const heartbeat_ack &b) { m_members.hearAck(b.sequence); },
+                   [&](const indirect_heartbeat &b) {
+                       const member_row *target = m_members.find(b.target);
+                       if (target != nullptr) {
+                           // The target acknowledges to the node that asked, whose record travels with the heartbeat.
+                           peer_message relayed;
+                           relayed.sender = message.sender;
+                           relayed.config = message.config;
+                           relayed.digest = message.digest;
+                           relayed.body = heartbeat{b.sequence, false};
+                           m_link.send(target->record.info.peerAddress, encodeMessage(relayed, m_context.configuration.secret));
+                       }
+                   },
+                   [](const member_list &) {},
+                   [&](const config_request &b) {
+                       if (const auto reply = m_config.reply(b)) {
+                           sendMessage(from, *reply, {}, now);
+                       }
+                   },
+                   [&](const config_reply &b) {
+                       const offer_outcome outcome = m_config.take(b, flamingofield::toString(from), now);
+                       if (outcome == offer_outcome::incomplete) {
+                           sendMessage(from, config_request{}, {}, now);
+                       } else {
+                           noteOffer(outcome, flamingofield::toString(from), now);
+                       }
+                   },
+                   [&](const service_report &b) { m_services.hear(message.sender.info.incarnation, b, now); },
+               },
+               message.body);
+}
+
+void control_tables::noteOffer(offer_outcome outcome, const std::string &source, instant now)
+{
+    const auto log = [&](log_level level, const char *event) {
+        const config_stamp stamp = m_config.stamp();
+        const std::string reason = m_config.refused().empty() ? "" : m_config.refused().back().reason;
+        logEvent(level, event,
+                 {{"version", std::to_string(stamp.version)},
+                  {"revision", std::to_string(stamp.revision)},
+                  {"source", source},
+                  {"reason", outcome == offer_outcome::accepted ? "" : reason}});
+    };
+    switch (outcome) {
+    case offer_outcome::accepted:
+        m_context.counters.add(counter::configAccepted);
+        log(log_level::info, "config_accepted");
+        break;
+    case offer_outcome::conflict:
+        m_context.counters.add(counter::configConflict);
+        log(log_level::warn, "config_conflict");
+        break;
+    case offer_outcome::invalid:
+        m_context.counters.add(counter::configInvalid);
+        log(log_level::warn, "config_invalid");
+        return;
+    case offer_outcome::stale:
+        m_context.counters.add(counter::configStale);
+        return;
+    case offer_outcome::same:
+    case offer_outcome::incomplete:
+        return;
+    }
+    m_services.setText(*m_config.text(), now);
+    refreshMembers(now);
+    m_mustPublish = true;
+    publish(now);
+    // Neighbours hear of the new version at once and ask for the text themselves.
+    for (const auto &peer : m_members.neighbours()) {
+        sendMessage(peer, member_list{}, {}, now);
+    }
+}
+
+std::vector<node_info> control_tables::liveNodes(instant now) const
+{
+    std::vector<node_info> nodes{m_members.self(now).info};
+    for (const auto &row : m_members.live(true)) {
+        nodes.push_back(row.record.info);
+    }
+    return nodes;
+}
+
+void control_tables::refreshMembers(instant now)
+{
+    const std::vector<node_info> nodes = liveNodes(now);
+    for (const auto &row : m_services.rows()) {
+        if (row.isListed) {
+            m_services.setMembers(row.number, chooseMembers(row.spec, nodes), m_context.incarnation);
+        }
+    }
+}
+
+void control_tables::judgeServices(instant now)
+{
+    const bool wasPaused = m_lastTick != instant() && now - m_lastTick > longestTick;
+    if (wasPaused) {
+        m_context.counters.add(counter::pausesNoticed);
+        logEvent(log_level::warn, "pause_noticed", {{"gap_ms", std::to_string(toMilliseconds(now - m_lastTick))}});
+    }
+    m_lastTick = now;
+    m_services.ingest(m_context.observations.drain());
+    const auto late = m_context.inflight.collectLate(now, [this](int number) { return m_services.lateLimit(number); });
+    if (!wasPaused) {
+        m_services.ingest(late);
+    }
+    for (const auto &[row, event] : m_services.judge(now)) {
+        const std::string &service = m_services.rows()[static_cast<std::size_t>(row)].name;
+        switch (event.what) {
+        case judge_event::kind::ejected:
+            m_context.counters.add(counter::ejections);
+            break;
+        case judge_event::kind::pathBlamed:
+        case judge_event::kind::selfSuspected:
+            m_context.counters.add(counter::ejectionsDeniedByPath);
+            break;
+        case judge_event::kind::denied:
+            m_context.counters.add(counter::ejectionsDeniedByFloor);
+            break;
+        case judge_event::kind::readmitted:
+            m_context.counters.add(counter::readmissions);
+            break;
+        default:
+            break;
+        }
+        logEvent(log_level::info, toString(event.what),
+                 {{"service", service}, {"target", event.target}, {"evidence", std::to_string(event.evidence)}});
+    }
+    m_services.applyLimits(m_context.incarnation, now);
+}
+
+void control_tables::sendReports(instant now)
+{
+    for (auto &row : m_services.rows()) {
+        const auto report = row.isListed ? m_services.takeReport(row.number, now) : std::nullopt;
+        if (!report) {
+            continue;
+        }
+        for (const auto member : row.members) {
+            const member_row *peer = member == m_context.incarnation ? nullptr : m_members.find(member);
+            if (peer != nullptr) {
+                sendMessage(peer->record.info.peerAddress, *report, {}, now);
+            }
+        }
+    }
+}
+
+bool control_tables::isReader() const
+{
+    std::vector<std::pair<double, std::uint64_t>> scores{
+        {rendezvousScore("store reader", flamingofield::toString(m_context.configuration.advertisedPeer)), m_context.incarnation}};
+    for (const auto &row : m_members.live(false)) {
+        if (row.record.info.dataCentre == m_context.configuration.dataCentre) {
+            scores.emplace_back(rendezvousScore("store reader", flamingofield::toString(row.record.info.peerAddress)),
+                                row.record.info.incarnation);
+        }
+    }
+    std::sort(scores.rbegin(), scores.rend());
+    const std::size_t readers = std::min(readersPerDataCentre, scores.size());
+    return std::any_of(scores.begin(), scores.begin() + static_cast<long>(readers),
+                       [&](const auto &s) { return s.second == m_context.incarnation; });
+}
+
+bool control_tables::isReady(instant now) const
+{
+    if (m_config.stamp().version == 0 || m_config.stamp() < m_highestHeard) {
+        return false;
+    }
+    const std::size_t others = std::max(m_vms.empty() ? 0 : m_vms.size() - 1, m_context.configuration.seeds.size());
+    const bool haveEnoughAnswered = others > 0 && m_heardStamps.size() >= std::min(others, peersAskedAtStart);
+    return haveEnoughAnswered || now - m_startedAt > startGrace;
+}
+
+void control_tables::publish(instant now)
+{
+    if (!m_isServing) {
+        if (!isReady(now)) {
+            return;
+        }
+        m_isServing = true;
+        m_mustPublish = true;
+        logEvent(log_level::info, "serving", {{"version", std::to_string(m_config.stamp().version)}});
+    }
+    if (!m_mustPublish && now < m_nextPublish) {
+        return;
+    }
+    m_mustPublish = false;
+    m_nextPublish = now + publishPeriod;
+    m_context.snapshots.publish(buildSnapshot(m_config, m_services, m_members, now));
+}
+
+void control_tables::logChanges(instant now)
+{
+    const std::vector<node_record> changes = m_members.takeChanges();
+    for (const auto &record : changes) {
+        m_context.counters.add(counter::membersSuspected, record.state == node_state::suspect ? 1 : 0);
+        m_context.counters.add(counter::membersLost, record.state == node_state::dead ? 1 : 0);
+        logEvent(log_level::info, "member",
+                 {{"peer", flamingofield::toString(record.info.peerAddress)},
+                  {"incarnation", toHex(record.info.incarnation)},
+                  {"state", toString(record.state)},
+                  {"leaving", record.info.isLeaving ? "true" : "false"}});
+    }
+    if (!changes.empty()) {
+        refreshMembers(now);
+        m_mustPublish = true;
+    }
+}
+
+void control_tables::tick(instant now)
+{
+    judgeServices(now);
+    perform(m_members.tick(now), now);
+    logChanges(now);
+    requestConfig(now);
+    sendReports(now);
+    publish(now);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryPeriod;
+        m_context.outcomes.expire(now);
+        m_link.closeIdle(now);
+    }
+}
+
+void control_tables::notePipeClosed(const endpoint &peer)
+{
+    m_members.notePipeClosed(peer);
+}
+
+void control_tables::leave(instant now)
+{
+    m_members.leave();
+    refreshMembers(now);
+    m_mustPublish = true;
+    tick(now);
+}
+
+std::optional<read_order> control_tables::takeDueRead(instant now)
+{
+    if (m_isReading || now < m_nextRead) {
+        return std::nullopt;
+    }
+    m_isReading = true;
+    m_context.counters.add(counter::storeReads);
+    const read_plan plan = planReads(m_members.live(true).size() + 1, isReader(), m_readFailures, nextSeed());
+    return read_order{m_config.highestRevision(), plan.mayWatch && m_hasReadOnce ? watchLength : milliseconds(0)};
+}
+
+void control_tables::takeStoreAnswer(const result<std::optional<stored_text>> &answer, instant now)
+{
+    m_isReading = false;
+    if (!answer) {
+        m_context.counters.add(counter::storeFailures);
+        if (m_readFailures++ == 0) {
+            logEvent(log_level::warn, "store_unreachable", {{"error", describe(answer.error())}});
+        }
+    } else {
+        if (m_readFailures > 0) {
+            logEvent(log_level::info, "store_reachable", {});
+        }
+        m_readFailures = 0;
+        m_hasReadOnce = true;
+        if (const auto &read = answer.value()) {
+            noteOffer(m_config.offer(read->text, read->revision, "store", now), "store", now);
+        }
+    }
+    m_nextRead = now + planReads(m_members.live(true).size() + 1, isReader(), m_readFailures, nextSeed()).interval;
+}
+
+bool control_tables::takeDueVmRead(instant now)
+{
+    if (m_isReadingVms || now < m_nextVmRead) {
+        return false;
+    }
+    m_isReadingVms = true;
+    m_context.counters.add(counter::storeReads);
+    return true;
+}
+
+void control_tables::takeVms(const result<std::vector<listed_vm>> &answer, instant now)
+{
+    m_isReadingVms = false;
+    const double fleet = static_cast<double>(m_members.live(true).size() + 1);
+    const auto share = std::chrono::duration_cast<duration>(std::chrono::duration<double>(fleet / vmReadsPerSecond));
+    m_nextVmRead = now + std::max<duration>(leastVmInterval, share) + milliseconds(nextSeed() % 1000);
+    if (!answer) {
+        m_context.counters.add(counter::storeFailures);
+        return;
+    }
+    std::vector<endpoint> hints = m_context.configuration.seeds;
+    for (const auto &vm : answer.value()) {
+        hints.push_back(vm.address);
+        const auto before = std::find_if(m_vms.begin(), m_vms.end(), [&](const auto &v) { return v.address == vm.address; });
+        const bool wasLeaving = before != m_vms.end() && before->isLeaving;
+        if (vm.isLeaving && !wasLeaving) {
+            m_services.setLeaving(vm.address, true, now);
+        }
+    }
+    m_vms = answer.value();
+    m_members.setHints(std::move(hints));
+}
+
+std::vector<probe_order> control_tables::takeDueProbes(instant now)
+{
+    std::vector<probe_order> orders;
+    if (now < m_nextProbe) {
+        return orders;
+    }
+    m_nextProbe = now + probePeriod;
+    for (const auto &row : m_services.rows()) {
+        const auto place
+            = static_cast<std::size_t>(std::find(row.members.begin(), row.members.end(), m_context.incarnation) - row.members.begin());
+        for (std::size_t i = 0; i < row.targets.size() && row.isMember && row.isListed; ++i) {
+            // Each target is probed by one member, and a leaving one by all, for a newer process may have its address.
+            const auto &target = row.judge.targets()[i];
+            if (target.isListed && (i % row.members.size() == place || target.state == target_state::leaving)) {
+                orders.push_back({row.number, i, row.targets[i]});
+            }
+        }
+    }
+    return orders;
+}
+
+void control_tables::takeProbes(const std::vector<probe_finding> &findings, instant now)
+{
+    for (const auto &finding : findings) {
+        m_services.hearProbe(finding.row, finding.target, finding.isDraining, now);
+    }
+}
+
+std::string control_tables::status(instant now) const
+{
+    return encodeStatus({m_context, m_config, m_services, m_members, m_isServing, isReader()}, now);
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/control/service_table.cpp
@@ -0,0 +1,255 @@
+#include "control/service_table.hpp"
+
+#include "core/hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr seconds demandLease{10}; // A silent member's share counts as held this long.
+constexpr seconds demandPeriod{4};
+constexpr milliseconds evidencePeriod{100};
+constexpr milliseconds demandChangePeriod{500};
+constexpr double demandChange = 1.0; // Slots.
+constexpr seconds leavingAnnouncement{3};
+
+rank_queue_limits queueLimits(const operator_text &text)
+{
+    rank_queue_limits limits;
+    for (const auto &rank : text.ranks) {
+        limits.guaranteedShares.push_back(rank.guaranteedShare);
+    }
+    return limits;
+}
+
+judge_policy policyOf(const service_spec &spec)
+{
+    judge_policy policy;
+    policy.kind = spec.judge;
+    policy.falseEjectionsPerTargetDay = spec.falseEjectionsPerTargetDay;
+    policy.floorSlots = spec.floorSlots;
+    policy.usesPeers = spec.judge == judge_kind::sequential;
+    policy.usesRelative = spec.judge == judge_kind::sequential;
+    return policy;
+}
+
+bool isSameRanks(const rank_queue_limits &a, const rank_queue_limits &b)
+{
+    return a.guaranteedShares == b.guaranteedShares;
+}
+
+} // namespace
+
+void service_table::setText(const operator_text &text, instant now)
+{
+    const rank_queue_limits limits = queueLimits(text);
+    for (auto &row : m_rows) {
+        row.isListed = false;
+    }
+    for (const auto &spec : text.services) {
+        auto row = std::find_if(m_rows.begin(), m_rows.end(), [&](const auto &r) { return r.name == spec.name; });
+        if (row == m_rows.end()) {
+            service_row added{static_cast<int>(m_rows.size()),
+                              spec.name,
+                              nullptr,
+                              service_judge(policyOf(spec)),
+                              {},
+                              {},
+                              false,
+                              true,
+                              {},
+                              {},
+                              -1.0,
+                              {},
+                              false,
+                              {},
+                              {}};
+            row = m_rows.insert(m_rows.end(), std::move(added));
+        }
+        const bool isGateKept = row->gate != nullptr && isSameRanks(row->gate->limits(), limits);
+        if (!isGateKept) {
+            // Requests in flight keep the old gate alive until they end.
+            row->gate = std::make_shared<service_gate>(limits, spec.retryRatio);
+        }
+        row->isListed = true;
+        row->spec = spec;
+        row->judge.setPolicy(policyOf(spec));
+        row->judge.setTargets(spec.targets, now);
+        row->targets.clear();
+        for (const auto &target : row->judge.targets()) {
+            row->gate->indexOf(target.address);
+            row->targets.push_back(parseEndpoint(target.address).value());
+        }
+    }
+}
+
+void service_table::setMembers(int row, std::vector<std::uint64_t> members, std::uint64_t self)
+{
+    service_row &r = m_rows[static_cast<std::size_t>(row)];
+    r.isMember = std::find(members.begin(), members.end(), self) != members.end();
+    r.members = std::move(members);
+}
+
+void service_table::ingest(const std::vector<observation> &observations)
+{
+    for (const auto &o : observations) {
+        service_row &row = m_rows[static_cast<std::size_t>(o.service)];
+        row.judge.observe(o);
+        if (o.isLeaving) {
+            announceLeaving(row, o.target, o.at);
+        }
+    }
+}
+
+void service_table::announceLeaving(service_row &row, std::size_t target, instant now)
+{
+    const std::uint64_t hash = hashOf(row.judge.targets()[target].address);
+    if (std::find(row.leavingHashes.begin(), row.leavingHashes.end(), hash) == row.leavingHashes.end()) {
+        row.leavingHashes.push_back(hash);
+        row.leavingUntil = now + leavingAnnouncement;
+    }
+}
+
+void service_table::hear(std::uint64_t sender, const service_report &report, instant now)
+{
+    for (auto &row : m_rows) {
+        const bool isFromMember = std::find(row.members.begin(), row.members.end(), sender) != row.members.end();
+        if (hashOf(row.name) != report.service || !isFromMember) {
+            continue;
+        }
+        if (std::isfinite(report.demand) && report.demand >= 0.0F) {
+            row.demands[sender] = {report.demand, now};
+        }
+        for (std::size_t i = 0; i < row.targets.size(); ++i) {
+            const std::string &address = row.judge.targets()[i].address;
+            const std::uint64_t hash = hashOf(address);
+            for (const auto &e : report.evidence) {
+                if (e.target == hash) {
+                    row.judge.hearPeer(sender, {address, e.score, static_cast<int>(e.observations)}, now);
+                }
+            }
+            if (std::find(report.leaving.begin(), report.leaving.end(), hash) != report.leaving.end()) {
+                row.judge.setLeaving(i, true, now);
+            }
+        }
+    }
+}
+
+void service_table::setLeaving(const endpoint &target, bool isLeaving, instant now)
+{
+    for (auto &row : m_rows) {
+        for (std::size_t i = 0; i < row.targets.size(); ++i) {
+            if (row.targets[i] == target) {
+                row.judge.setLeaving(i, isLeaving, now);
+            }
+        }
+    }
+}
+
+void service_table::hearProbe(int row, std::size_t target, bool isDraining, instant now)
+{
+    service_row &r = m_rows[static_cast<std::size_t>(row)];
+    r.judge.setLeaving(target, isDraining, now);
+    if (isDraining) {
+        announceLeaving(r, target, now);
+    }
+}
+
+std::vector<std::pair<int, judge_event>> service_table::judge(instant now)
+{
+    std::vector<std::pair<int, judge_event>> events;
+    for (auto &row : m_rows) {
+        for (auto &event : row.judge.tick(now)) {
+            events.emplace_back(row.number, std::move(event));
+        }
+    }
+    return events;
+}
+
+std::vector<member_demand> service_table::memberDemands(const service_row &row, std::uint64_t self, instant now) const
+{
+    std::vector<member_demand> demands;
+    for (const auto member : row.members) {
+        const auto told = row.demands.find(member);
+        double demand = told != row.demands.end() && now - told->second.heardAt < demandLease ? told->second.slots : 0.0;
+        demand = member == self ? std::max(row.lastSentDemand, 0.0) : demand;
+        demands.push_back({toHex(member), demand});
+    }
+    return demands;
+}
+
+void service_table::applyLimits(std::uint64_t self, instant now)
+{
+    for (auto &row : m_rows) {
+        const std::vector<member_demand> demands = memberDemands(row, self, now);
+        const std::vector<std::vector<int>> owned = splitSlots(row.spec, demands);
+        double demanded = 0.0;
+        for (const auto &d : demands) {
+            demanded += d.demand;
+        }
+        const double ratio = demanded / std::max(1, declaredSlots(row.spec));
+        const auto place = static_cast<std::size_t>(std::find(row.members.begin(), row.members.end(), self) - row.members.begin());
+        std::vector<int> ownedHere(row.targets.size(), 0);
+        std::vector<int> ceilings(row.targets.size(), 0);
+        for (std::size_t s = 0; s < row.spec.targets.size(); ++s) {
+            const auto found = std::find(row.targets.begin(), row.targets.end(), row.spec.targets[s].address);
+            const auto index = static_cast<std::size_t>(found - row.targets.begin());
+            ownedHere[index] = row.isMember ? owned[s][place] : 0;
+            // A node that is no member uses one slot at most, for keys that name it.
+            ceilings[index] = row.isMember ? slotCeiling(ownedHere[index], row.spec.targets[s].slots, ratio) : 1;
+        }
+        row.gate->update([&](slot_ledger &ledger) {
+            for (std::size_t i = 0; i < row.targets.size(); ++i) {
+                target_slots &slots = ledger.at(i);
+                slots.window.bound(ownedHere[i], ceilings[i]);
+                slots.weight = row.judge.weightOf(i, now);
+                slots.trialDue = slots.trialDue || row.judge.takeTrial(i, now);
+                if (row.judge.targets()[i].state != target_state::trial) {
+                    slots.trialDue = false;
+                }
+            }
+        });
+    }
+}
+
+std::optional<service_report> service_table::takeReport(int row, instant now)
+{
+    service_row &r = m_rows[static_cast<std::size_t>(row)];
+    if (!r.isMember) {
+        return std::nullopt;
+    }
+    const double demand = r.gate->demand();
+    const std::vector<evidence_report> evidence = r.judge.reports();
+    const bool isLeavingDue = !r.leavingHashes.empty();
+    const duration sinceSent = now - r.lastSentAt;
+    const bool isEvidenceDue = (!evidence.empty() || r.hadEvidence || isLeavingDue) && sinceSent >= evidencePeriod;
+    const bool isDemandChanged
+        = std::abs(demand - r.lastSentDemand) >= std::max(demandChange, 0.3 * r.lastSentDemand) && sinceSent >= demandChangePeriod;
+    if (!isEvidenceDue && !isDemandChanged && sinceSent < demandPeriod) {
+        return std::nullopt;
+    }
+    service_report report;
+    report.service = hashOf(r.name);
+    report.demand = static_cast<float>(demand);
+    for (const auto &e : evidence) {
+        report.evidence.push_back({hashOf(e.target), static_cast<float>(e.score), static_cast<std::uint32_t>(std::max(e.observations, 0))});
+    }
+    report.leaving = r.leavingHashes;
+    if (now > r.leavingUntil) {
+        r.leavingHashes.clear();
+    }
+    r.lastSentDemand = demand;
+    r.lastSentAt = now;
+    r.hadEvidence = !evidence.empty();
+    return report;
+}
+
+duration service_table::lateLimit(int number) const
+{
+    return m_rows[static_cast<std::size_t>(number)].judge.lateLimit();
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/control/snapshot_builder.cpp
@@ -0,0 +1,67 @@
+#include "control/snapshot_builder.hpp"
+
+#include <algorithm>
+
+namespace flamingofield {
+
+namespace {
+
+member_view viewOf(const node_info &info, instant epochAt)
+{
+    return {info.gateAddress, info.dataCentre, info.incarnation, info.epoch, epochAt};
+}
+
+/// Members that callers may be sent to: suspects and leaving nodes are left out while there are others.
+std::vector<member_view> addressableMembers(const service_row &row, const membership &members, const node_record &self, instant now)
+{
+    std::vector<member_view> sound;
+    std::vector<member_view> doubtful;
+    for (const auto incarnation : row.members) {
+        if (incarnation == self.info.incarnation) {
+            (self.info.isLeaving ? doubtful : sound).push_back(viewOf(self.info, now));
+            continue;
+        }
+        const member_row *member = members.find(incarnation);
+        if (member == nullptr) {
+            continue;
+        }
+        const bool isSound = member->record.state == node_state::alive && !member->record.info.isLeaving;
+        (isSound ? sound : doubtful).push_back(viewOf(member->record.info, member->epochAt));
+    }
+    return sound.empty() ? doubtful : sound;
+}
+
+service_view viewOf(const service_row &row, const membership &members, const node_record &self, instant now)
+{
+    service_view view;
+    view.number = row.number;
+    view.gate = row.gate;
+    view.targets = row.targets;
+    view.members = addressableMembers(row, members, self, now);
+    view.isMember = row.isMember;
+    view.attemptLimit = row.judge.lateLimit();
+    return view;
+}
+
+} // namespace
+
+std::shared_ptr<const fleet_snapshot> buildSnapshot(const config_keeper &config, const service_table &services, const membership &members,
+                                                    instant now)
+{
+    auto snapshot = std::make_shared<fleet_snapshot>();
+    snapshot->text = config.text();
+    snapshot->routes = config.routes();
+    snapshot->revision = config.stamp().revision;
+    const node_record self = members.self(now);
+    snapshot->isLeaving = self.info.isLeaving;
+    for (const auto &spec : snapshot->text->services) {
+        const auto row = std::find_if(services.rows().begin(), services.rows().end(), [&](const auto &r) { return r.name == spec.name; });
+        snapshot->services.push_back(viewOf(*row, members, self, now));
+    }
+    for (const auto &member : members.live(true)) {
+        snapshot->nodes.emplace(member.record.info.incarnation, viewOf(member.record.info, member.epochAt));
+    }
+    return snapshot;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/control/snapshot_builder.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "control/config_keeper.hpp"
+#include "control/service_table.hpp"
+#include "fleet/membership.hpp"
+#include "gate/fleet_snapshot.hpp"
+
+#include <memory>
+
+namespace flamingofield {
+
+/// Builds what request threads read from the tables of the control plane.
+std::shared_ptr<const fleet_snapshot> buildSnapshot(const config_keeper &config, const service_table &services, const membership &members,
+                                                    instant now);
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/core/time.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+
+namespace flamingofield {
+
+/// Monotonic time. Every decision takes it as an argument; only the daemon's edges read the clock.
+using instant = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Whole milliseconds in a duration, rounded towards zero.
+constexpr long long toMilliseconds(duration d)
+{
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+/// Seconds in a duration as a floating point number.
+constexpr double toSeconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/gate/backend_client.cpp
@@ -0,0 +1,181 @@
+#include "gate/backend_client.hpp"
+
+#include <httplib.h>
+
+#include <deque>
+#include <mutex>
+#include <unordered_map>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr milliseconds leastTimeout{1};
+
+struct connection
+{
+    std::unique_ptr<httplib::ClientImpl> client;
+    instant lastUsed;
+};
+
+/// True if the socket is open and has nothing to read, neither stray bytes nor an end of stream.
+bool isQuiet(const httplib::ClientImpl &client)
+{
+    char byte = 0;
+    const ssize_t count = ::recv(client.socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool hasFraming(const httplib::Request &request, const httplib::Response &response)
+{
+    const bool hasNoBody = request.method == "HEAD" || response.status == 204 || response.status == 304;
+    return hasNoBody || response.has_header("Content-Length") || response.has_header("Transfer-Encoding");
+}
+
+bool isTimeout(httplib::Error failure, instant deadline)
+{
+    const bool mayBeLate = failure == httplib::Error::Read || failure == httplib::Error::Canceled;
+    return mayBeLate && std::chrono::steady_clock::now() + leastTimeout >= deadline;
+}
+
+} // namespace
+
+class backend_client::implementation
+{
+public:
+    explicit implementation(backend_limits limits)
+        : m_limits(limits)
+    {
+    }
+
+    backend_result send(const endpoint &peer, const backend_request &request)
+    {
+        const instant now = std::chrono::steady_clock::now();
+        if (now + leastTimeout >= request.deadline) {
+            return backend_not_sent{"the deadline had passed"};
+        }
+        connection link = request.freshConnection ? connection{} : takeIdle(peer, now);
+        const bool isReused = link.client != nullptr;
+        if (!isReused) {
+            link.client = open(peer);
+        }
+        return exchange(peer, request, std::move(link), isReused);
+    }
+
+    void dropIdle(const endpoint &peer)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_idle.erase(toString(peer));
+    }
+
+private:
+    std::unique_ptr<httplib::ClientImpl> open(const endpoint &peer) const
+    {
+        auto client = std::make_unique<httplib::ClientImpl>(peer.host, peer.port);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_follow_location(false);
+        client->set_url_encode(false);
+        client->set_decompress(false);
+        return client;
+    }
+
+    connection takeIdle(const endpoint &peer, instant now)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto &idle = m_idle[toString(peer)];
+        while (!idle.empty()) {
+            connection link = std::move(idle.back());
+            idle.pop_back();
+            if (now - link.lastUsed < m_limits.idleAge && isQuiet(*link.client)) {
+                return link;
+            }
+        }
+        return {};
+    }
+
+    void keepIdle(const endpoint &peer, connection link)
+    {
+        link.lastUsed = std::chrono::steady_clock::now();
+        const std::lock_guard lock(m_mutex);
+        auto &idle = m_idle[toString(peer)];
+        if (idle.size() < m_limits.idlePerPeer) {
+            idle.push_back(std::move(link));
+        }
+    }
+
+    static httplib::Request translate(const backend_request &request, std::size_t answerBytes)
+    {
+        httplib::Request translated;
+        translated.method = request.method;
+        translated.path = request.target;
+        translated.body = request.body;
+        for (const auto &[name, value] : request.headers) {
+            translated.headers.emplace(name, value);
+        }
+        if (!request.contentType.empty()) {
+            translated.set_header("Content-Type", request.contentType);
+        }
+        const instant deadline = request.deadline;
+        translated.progress = [deadline, answerBytes](std::uint64_t current, std::uint64_t total) {
+            return std::max(current, total) <= answerBytes && std::chrono::steady_clock::now() < deadline;
+        };
+        return translated;
+    }
+
+    backend_result exchange(const endpoint &peer, const backend_request &request, connection link, bool isReused)
+    {
+        const instant now = std::chrono::steady_clock::now();
+        const duration left = std::max<duration>(request.deadline - now, leastTimeout);
+        link.client->set_connection_timeout(std::min(left, m_limits.connectTimeout));
+        link.client->set_read_timeout(left);
+        link.client->set_write_timeout(left);
+        httplib::Request translated = translate(request, m_limits.answerBytes);
+        httplib::Response response;
+        httplib::Error failure = httplib::Error::Success;
+        const bool isSent = link.client->send(translated, response, failure);
+        if (!isSent) {
+            if (!isReused && (failure == httplib::Error::Connection || failure == httplib::Error::ConnectionTimeout)) {
+                return backend_not_sent{"connect: " + httplib::to_string(failure)};
+            }
+            return backend_lost{httplib::to_string(failure), isTimeout(failure, request.deadline), isReused};
+        }
+        if (!hasFraming(translated, response)) {
+            return backend_lost{"the answer declares no length, so a cut could not be told", false, isReused};
+        }
+        backend_answer answer;
+        answer.status = response.status;
+        answer.contentType = response.get_header_value("Content-Type");
+        answer.body = std::move(response.body);
+        answer.headers.insert(response.headers.begin(), response.headers.end());
+        answer.reusedConnection = isReused;
+        const bool mayReuse = !request.freshConnection && link.client->is_socket_open() != 0 && isQuiet(*link.client);
+        if (mayReuse) {
+            keepIdle(peer, std::move(link));
+        }
+        return answer;
+    }
+
+    backend_limits m_limits;
+    std::mutex m_mutex;
+    std::unordered_map<std::string, std::deque<connection>> m_idle;
+};
+
+backend_client::backend_client(backend_limits limits)
+    : m_implementation(std::make_unique<implementation>(limits))
+{
+}
+
+backend_client::~backend_client() = default;
+
+backend_result backend_client::send(const endpoint &peer, const backend_request &request)
+{
+    return m_implementation->send(peer, request);
+}
+
+void backend_client::dropIdle(const endpoint &peer)
+{
+    m_implementation->dropIdle(peer);
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/gate/backend_client.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "core/time.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace flamingofield {
+
+/// A request to a backend server or to another entry VM.
+struct backend_request
+{
+    std::string method;
+    std::string target;
+    std::string body;
+    std::string contentType;
+    std::multimap<std::string, std::string> headers;
+    instant deadline;
+    bool freshConnection = false; ///< Never reuse an idle connection, so that a failure to connect proves that nothing was sent.
+};
+
+/// A whole answer.
+struct backend_answer
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+    std::multimap<std::string, std::string> headers;
+    bool reusedConnection = false;
+};
+
+/// Nothing of the request left this process.
+struct backend_not_sent
+{
+    std::string reason;
+};
+
+/// The request may have been received; it is not known whether it ran.
+struct backend_lost
+{
+    std::string reason;
+    bool timedOut = false;
+    bool reusedConnection = false;
+};
+
+using backend_result = std::variant<backend_answer, backend_not_sent, backend_lost>;
+
+/// Bounds of a backend client.
+struct backend_limits
+{
+    duration connectTimeout = milliseconds(250);
+    std::size_t idlePerPeer = 16;
+    std::size_t answerBytes = 8U << 20U;
+    duration idleAge = seconds(30);
+};
+
+/// HTTP client towards backend servers with a pool of idle connections for each; thread-safe.
+///
+/// An answer is returned only when it is whole: a cut body, a wrong length or an answer without a length is a failure,
+/// and its connection is closed. A connection with unread bytes is never reused, for they belong to another request.
+class backend_client
+{
+public:
+    explicit backend_client(backend_limits limits);
+    ~backend_client();
+    backend_client(const backend_client &) = delete;
+    backend_client &operator=(const backend_client &) = delete;
+
+    /// Sends a request and waits for the whole answer until the deadline.
+    backend_result send(const endpoint &peer, const backend_request &request);
+
+    /// Closes the idle connections to a peer, which may have gone silent.
+    void dropIdle(const endpoint &peer);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/gate/connection_server.cpp
@@ -0,0 +1,523 @@
+#include "gate/connection_server.hpp"
+
+#include "core/time.hpp"
+#include "gate/request_head.hpp"
+
+#include <httplib.h>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <unordered_map>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr int pollMilliseconds = 100;
+constexpr int bodyReadMilliseconds = 5000;
+constexpr int writeMilliseconds = 5000;
+constexpr int drainMilliseconds = 10000;
+constexpr int pollEvents = 128;
+
+bool waitFor(int fd, short events, int timeoutMs)
+{
+    pollfd p{fd, events, 0};
+    int ready = 0;
+    do {
+        ready = ::poll(&p, 1, timeoutMs);
+    } while (ready < 0 && errno == EINTR);
+    return ready > 0;
+}
+
+/// Stream over a socket that first yields bytes already read from it.
+class buffered_stream : public httplib::Stream
+{
+public:
+    buffered_stream(int fd, std::string remoteHost)
+        : m_fd(fd)
+        , m_remoteHost(std::move(remoteHost))
+    {
+    }
+
+    void push(std::string_view bytes)
+    {
+        m_buffer.erase(0, m_offset);
+        m_offset = 0;
+        m_buffer.append(bytes);
+    }
+
+    std::string_view buffered() const
+    {
+        return std::string_view(m_buffer).substr(m_offset);
+    }
+
+    bool is_readable() const override
+    {
+        return !buffered().empty() || waitFor(m_fd, POLLIN, bodyReadMilliseconds);
+    }
+
+    bool is_writable() const override
+    {
+        return waitFor(m_fd, POLLOUT, writeMilliseconds);
+    }
+
+    ssize_t read(char *ptr, size_t size) override
+    {
+        if (buffered().empty()) {
+            if (!waitFor(m_fd, POLLIN, bodyReadMilliseconds)) {
+                return -1;
+            }
+            return ::recv(m_fd, ptr, size, 0);
+        }
+        const std::size_t count = std::min(size, buffered().size());
+        std::copy_n(buffered().data(), count, ptr);
+        m_offset += count;
+        return static_cast<ssize_t>(count);
+    }
+
+    ssize_t write(const char *ptr, size_t size) override
+    {
+        if (!is_writable()) {
+            return -1;
+        }
+        return ::send(m_fd, ptr, size, MSG_NOSIGNAL);
+    }
+
+    void get_remote_ip_and_port(std::string &ip, int &port) const override
+    {
+        ip = m_remoteHost;
+        port = 0;
+    }
+
+    void get_local_ip_and_port(std::string &ip, int &port) const override
+    {
+        ip.clear();
+        port = 0;
+    }
+
+    socket_t socket() const override
+    {
+        return m_fd;
+    }
+
+private:
+    int m_fd;
+    std::string m_remoteHost;
+    std::string m_buffer;
+    std::size_t m_offset = 0;
+};
+
+std::string remoteHostOf(int fd)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    char text[INET_ADDRSTRLEN] = "";
+    if (::getpeername(fd, reinterpret_cast<sockaddr *>(&address), &length) == 0) {
+        inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+    }
+    return text;
+}
+
+std::string problemText(int status, std::string_view outcome, std::string_view reason)
+{
+    const std::string body = "{\"type\":\"about:blank\",\"status\":" + std::to_string(status) + ",\"outcome\":\"" + std::string(outcome)
+        + "\",\"detail\":\"" + std::string(reason) + "\"}";
+    return "HTTP/1.1 " + std::to_string(status) + " Refused\r\nContent-Type: application/problem+json\r\nConnection: close\r\n"
+        + "Retry-After: 1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Writes a short answer without waiting for the caller, and closes.
+void answerAndClose(int fd, int status, std::string_view outcome, std::string_view reason)
+{
+    const std::string text = problemText(status, outcome, reason);
+    [[maybe_unused]] const auto sent = ::send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    // Unread bytes would turn the close into a reset that can overtake the answer.
+    ::shutdown(fd, SHUT_WR);
+    char rest[4096];
+    while (::recv(fd, rest, sizeof rest, MSG_DONTWAIT) > 0) { }
+    ::close(fd);
+}
+
+/// Runs each task in the thread that accepts, for the tasks only pass a socket on.
+class inline_queue : public httplib::TaskQueue
+{
+public:
+    void enqueue(std::function<void()> fn) override
+    {
+        fn();
+    }
+    void shutdown() override { }
+};
+
+http_request readRequest(const httplib::Request &req)
+{
+    http_request request;
+    request.method = req.method;
+    request.path = req.path;
+    request.target = req.target;
+    request.body = req.body;
+    request.contentType = req.get_header_value("Content-Type");
+    request.remoteHost = req.remote_addr;
+    request.parameters.insert(req.params.begin(), req.params.end());
+    request.headers.insert(req.headers.begin(), req.headers.end());
+    return request;
+}
+
+} // namespace
+
+std::string http_request::header(const std::string &name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (strcasecmp(key.c_str(), name.c_str()) == 0) {
+            return value;
+        }
+    }
+    return {};
+}
+
+std::string http_request::parameter(const std::string &name) const
+{
+    const auto found = parameters.find(name);
+    return found == parameters.end() ? std::string() : found->second;
+}
+
+class connection_server::implementation : public httplib::Server
+{
+public:
+    implementation(connection_limits limits, handler handle)
+        : m_limits(limits)
+        , m_handle(std::move(handle))
+        , m_epoll(::epoll_create1(EPOLL_CLOEXEC))
+    {
+        new_task_queue = [] { return new inline_queue; };
+        set_tcp_nodelay(true);
+        set_payload_max_length(limits.bodyBytes);
+        set_socket_options([](socket_t sock) {
+            const int yes = 1;
+            ::setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        });
+        const auto serve = [this](const httplib::Request &req, httplib::Response &res) { handleRequest(req, res); };
+        Get(".*", serve).Post(".*", serve).Put(".*", serve).Patch(".*", serve).Delete(".*", serve);
+        set_error_handler([](const httplib::Request &, httplib::Response &res) { writeLibraryError(res); });
+    }
+
+    ~implementation() override
+    {
+        halt();
+        ::close(m_epoll);
+    }
+
+    result<std::uint16_t> start(const endpoint &address)
+    {
+        int port = address.port;
+        if (port == 0) {
+            port = bind_to_any_port(address.host);
+        } else if (!bind_to_port(address.host, port)) {
+            port = -1;
+        }
+        if (port < 0) {
+            return error{"listen", toString(address), std::strerror(errno)};
+        }
+        m_accepting = std::thread([this] { listen_after_bind(); });
+        m_polling = std::thread([this] { pollLoop(); });
+        return static_cast<std::uint16_t>(port);
+    }
+
+    void halt()
+    {
+        if (m_stopping.exchange(true)) {
+            return;
+        }
+        httplib::Server::stop();
+        if (m_accepting.joinable()) {
+            m_accepting.join();
+        }
+        if (m_polling.joinable()) {
+            m_polling.join();
+        }
+        std::unique_lock lock(m_mutex);
+        m_idle.wait_for(lock, milliseconds(drainMilliseconds), [this] { return m_jobs.empty() && m_busy == 0; });
+        m_jobs.clear();
+        m_wake.notify_all();
+        m_idle.wait(lock, [this] { return m_threads == 0; });
+        for (const auto &[fd, parked] : m_parked) {
+            ::close(fd);
+        }
+        m_parked.clear();
+    }
+
+    connection_counts counts() const
+    {
+        const std::lock_guard lock(m_mutex);
+        connection_counts counts = m_counts;
+        counts.open = m_parked.size() + m_jobs.size() + m_busy;
+        return counts;
+    }
+
+private:
+    struct parked_connection
+    {
+        instant since;
+        bool hasBytes = false;
+    };
+
+    bool process_and_close_socket(socket_t sock) override
+    {
+        park(sock);
+        return true;
+    }
+
+    void park(int fd)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_stopping || m_parked.size() >= m_limits.connections) {
+                ++m_counts.refused;
+                ::close(fd);
+                return;
+            }
+            m_parked[fd] = {std::chrono::steady_clock::now(), false};
+        }
+        epoll_event event{};
+        event.events = EPOLLIN | EPOLLRDHUP | EPOLLET;
+        event.data.fd = fd;
+        ::epoll_ctl(m_epoll, EPOLL_CTL_ADD, fd, &event);
+    }
+
+    void unpark(int fd)
+    {
+        ::epoll_ctl(m_epoll, EPOLL_CTL_DEL, fd, nullptr);
+        const std::lock_guard lock(m_mutex);
+        m_parked.erase(fd);
+    }
+
+    void pollLoop()
+    {
+        epoll_event events[pollEvents];
+        while (!m_stopping) {
+            const int count = ::epoll_wait(m_epoll, events, pollEvents, pollMilliseconds);
+            for (int i = 0; i < count; ++i) {
+                inspect(events[i].data.fd);
+            }
+            closeExpired();
+        }
+    }
+
+    void inspect(int fd)
+    {
+        char bytes[maximumHeadBytes];
+        const ssize_t count = ::recv(fd, bytes, sizeof bytes, MSG_PEEK | MSG_DONTWAIT);
+        if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return;
+        }
+        if (count <= 0) {
+            unpark(fd);
+            ::close(fd);
+            return;
+        }
+        const head_inspection inspection = inspectHead(std::string_view(bytes, static_cast<std::size_t>(count)));
+        if (std::holds_alternative<head_incomplete>(inspection)) {
+            const std::lock_guard lock(m_mutex);
+            auto &parked = m_parked[fd];
+            parked.since = parked.hasBytes ? parked.since : std::chrono::steady_clock::now();
+            parked.hasBytes = true;
+            return;
+        }
+        unpark(fd);
+        if (const auto *refused = std::get_if<head_refused>(&inspection)) {
+            countMalformed();
+            answerAndClose(fd, refused->status, "not run", refused->reason);
+            return;
+        }
+        submit(fd);
+    }
+
+    void countMalformed()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_counts.malformed;
+    }
+
+    void closeExpired()
+    {
+        const instant now = std::chrono::steady_clock::now();
+        std::vector<std::pair<int, bool>> expired;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto &[fd, parked] : m_parked) {
+                const seconds limit(parked.hasBytes ? m_limits.headSeconds : m_limits.idleSeconds);
+                if (now - parked.since > limit) {
+                    expired.emplace_back(fd, parked.hasBytes);
+                    m_counts.expired += parked.hasBytes ? 1 : 0;
+                }
+            }
+        }
+        for (const auto &[fd, hasBytes] : expired) {
+            unpark(fd);
+            if (hasBytes) {
+                answerAndClose(fd, 408, "not run", "the request head did not arrive in time");
+            } else {
+                ::close(fd);
+            }
+        }
+    }
+
+    void submit(int fd)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_jobs.size() >= m_limits.queue) {
+            ++m_counts.refused;
+            lock.unlock();
+            // The key has not been read and so cannot be closed: a delayed copy might still run.
+            answerAndClose(fd, 503, "unknown", "too many requests at once; repeat with the same key");
+            return;
+        }
+        m_jobs.push_back(fd);
+        if (m_idleThreads < m_jobs.size() && m_threads < m_limits.threads) {
+            ++m_threads;
+            std::thread([this] { workLoop(); }).detach();
+        }
+        m_wake.notify_one();
+    }
+
+    void workLoop()
+    {
+        std::unique_lock lock(m_mutex);
+        while (true) {
+            ++m_idleThreads;
+            const bool woken = m_wake.wait_for(lock, seconds(m_limits.idleSeconds), [this] { return !m_jobs.empty() || m_stopping; });
+            --m_idleThreads;
+            if (m_jobs.empty() && (m_stopping || !woken)) {
+                break;
+            }
+            const int fd = m_jobs.front();
+            m_jobs.pop_front();
+            ++m_busy;
+            lock.unlock();
+            serve(fd);
+            lock.lock();
+            --m_busy;
+            m_idle.notify_all();
+        }
+        --m_threads;
+        m_idle.notify_all();
+    }
+
+    void serve(int fd)
+    {
+        const int yes = 1;
+        ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+        buffered_stream stream(fd, remoteHostOf(fd));
+        if (!fillHead(fd, stream)) {
+            ::close(fd);
+            return;
+        }
+        bool isClosed = false;
+        bool isServed = true;
+        do {
+            isServed = process_request(stream, m_stopping, isClosed, [](httplib::Request &) {});
+        } while (isServed && !isClosed && !stream.buffered().empty() && fillHead(fd, stream));
+        if (isServed && !isClosed && stream.buffered().empty() && !m_stopping) {
+            park(fd);
+            return;
+        }
+        ::shutdown(fd, SHUT_RDWR);
+        ::close(fd);
+    }
+
+    /// Moves a whole request head from the socket into the stream, with a length added where it is missing.
+    static bool fillHead(int fd, buffered_stream &stream)
+    {
+        std::string head(stream.buffered());
+        char bytes[maximumHeadBytes];
+        while (true) {
+            const head_inspection inspection = inspectHead(head);
+            if (const auto *complete = std::get_if<head_complete>(&inspection)) {
+                if (complete->lacksLength) {
+                    head.insert(head.find("\r\n") + 2, "Content-Length: 0\r\n");
+                }
+                stream = buffered_stream(fd, remoteHostOf(fd));
+                stream.push(head);
+                return true;
+            }
+            if (std::holds_alternative<head_refused>(inspection) || !waitFor(fd, POLLIN, bodyReadMilliseconds)) {
+                return false;
+            }
+            const ssize_t count = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+            if (count <= 0) {
+                return false;
+            }
+            head.append(bytes, static_cast<std::size_t>(count));
+        }
+    }
+
+    void handleRequest(const httplib::Request &req, httplib::Response &res)
+    {
+        const http_answer answer = m_handle(readRequest(req));
+        res.status = answer.status;
+        for (const auto &[name, value] : answer.headers) {
+            res.set_header(name, value);
+        }
+        res.set_content(answer.body, answer.contentType);
+    }
+
+    static void writeLibraryError(httplib::Response &res)
+    {
+        if (!res.body.empty()) {
+            return;
+        }
+        const std::string body = R"({"type":"about:blank","status":)" + std::to_string(res.status)
+            + R"(,"outcome":"not run","detail":"the request could not be read"})";
+        res.set_content(body, "application/problem+json");
+    }
+
+    connection_limits m_limits;
+    handler m_handle;
+    int m_epoll;
+    std::atomic<bool> m_stopping{false};
+    std::thread m_accepting;
+    std::thread m_polling;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::condition_variable m_idle;
+    std::unordered_map<int, parked_connection> m_parked;
+    std::deque<int> m_jobs;
+    std::size_t m_threads = 0;
+    std::size_t m_idleThreads = 0;
+    std::size_t m_busy = 0;
+    connection_counts m_counts;
+};
+
+connection_server::connection_server(connection_limits limits, handler handle)
+    : m_implementation(std::make_unique<implementation>(limits, std::move(handle)))
+{
+}
+
+connection_server::~connection_server() = default;
+
+result<std::uint16_t> connection_server::start(const endpoint &address)
+{
+    return m_implementation->start(address);
+}
+
+void connection_server::stop()
+{
+    m_implementation->halt();
+}
+
+connection_counts connection_server::counts() const
+{
+    return m_implementation->counts();
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/judge/detector.cpp
@@ -0,0 +1,141 @@
+#include "judge/detector.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr std::array<double, cusumAlternatives> alternativeBadRates{0.12, 0.35, 0.9};
+constexpr double highestBadRate = 0.97;
+constexpr double leastRatio = 2.0; // An alternative lies at least this far above the healthy rate.
+constexpr double comparisonShare = 0.5; // Of the threshold, that the comparison with the other targets must reach.
+constexpr double secondsPerDay = 86400.0;
+constexpr double leastThreshold = 6.0;
+constexpr double leastObservationsPerDay = 1000.0;
+constexpr int consecutiveLimit = 5;
+constexpr int percentageWindow = 20;
+constexpr int percentageLimit = 8; // 40% of the window.
+
+void addBatch(cusum &test, double alternative, const evidence_batch &batch)
+{
+    const double healthy = batch.healthyBadRate;
+    const double sick = std::min(std::max(alternative, healthy * leastRatio), highestBadRate);
+    if (sick <= healthy) {
+        test = {};
+        return;
+    }
+    test.score += batch.bad * std::log(sick / healthy) + batch.good * std::log((1.0 - sick) / (1.0 - healthy));
+    test.bad += batch.bad;
+    test.good += batch.good;
+    test.othersBad += batch.othersBad;
+    test.othersGood += batch.othersGood;
+    if (test.score <= 0.0) {
+        test = {};
+    }
+}
+
+void observeBatch(sequential_detector &d, const evidence_batch &batch)
+{
+    for (std::size_t i = 0; i < cusumAlternatives; ++i) {
+        addBatch(d.tests[i], alternativeBadRates[i], batch);
+    }
+}
+
+void observeBatch(consecutive_detector &d, const evidence_batch &batch)
+{
+    if (d.inRow < consecutiveLimit) {
+        d.inRow = batch.good > 0 ? 0 : d.inRow + batch.bad;
+    }
+}
+
+void observeBatch(percentage_detector &d, const evidence_batch &batch)
+{
+    const auto push = [&](bool isBad) {
+        d.history = (d.history << 1U) | (isBad ? 1U : 0U);
+        d.filled = std::min(d.filled + 1, percentageWindow);
+    };
+    for (int i = 0; i < batch.good; ++i) {
+        push(false);
+    }
+    for (int i = 0; i < batch.bad; ++i) {
+        push(true);
+    }
+}
+
+bool isConvicted(const percentage_detector &d)
+{
+    const std::uint32_t window = d.history & ((1U << static_cast<unsigned>(percentageWindow)) - 1U);
+    return d.filled >= percentageWindow && __builtin_popcount(window) >= percentageLimit;
+}
+
+const cusum &strongest(const sequential_detector &d)
+{
+    return *std::max_element(d.tests.begin(), d.tests.end(), [](const auto &a, const auto &b) { return a.score < b.score; });
+}
+
+/// Likelihood ratio of the target's own rate against the rate of the others in the same time.
+double comparisonScore(const cusum &test)
+{
+    const double total = test.bad + test.good;
+    const double othersRate = (test.othersBad + 1.0) / (test.othersBad + test.othersGood + 2.0);
+    const double ownRate = total > 0.0 ? test.bad / total : 0.0;
+    if (ownRate <= othersRate) {
+        return 0.0;
+    }
+    const double badPart = test.bad * std::log(ownRate / othersRate);
+    const double goodPart = test.good > 0.0 ? test.good * std::log((1.0 - ownRate) / (1.0 - othersRate)) : 0.0;
+    return badPart + goodPart;
+}
+
+} // namespace
+
+detector makeDetector(judge_kind kind)
+{
+    switch (kind) {
+    case judge_kind::consecutive:
+        return consecutive_detector{};
+    case judge_kind::percentage:
+        return percentage_detector{};
+    case judge_kind::sequential:
+        break;
+    }
+    return sequential_detector{};
+}
+
+void observe(detector &d, const evidence_batch &batch)
+{
+    std::visit([&](auto &kind) { observeBatch(kind, batch); }, d);
+}
+
+double evidenceOf(const detector &d, double threshold)
+{
+    if (const auto *sequential = std::get_if<sequential_detector>(&d)) {
+        return strongest(*sequential).score;
+    }
+    if (const auto *consecutive = std::get_if<consecutive_detector>(&d)) {
+        return consecutive->inRow >= consecutiveLimit ? threshold : 0.0;
+    }
+    return isConvicted(std::get<percentage_detector>(d)) ? threshold : 0.0;
+}
+
+bool isWorseThanOthers(const detector &d, double threshold)
+{
+    const auto *sequential = std::get_if<sequential_detector>(&d);
+    return sequential == nullptr || comparisonScore(strongest(*sequential)) >= threshold * comparisonShare;
+}
+
+void reset(detector &d)
+{
+    std::visit([](auto &kind) { kind = {}; }, d);
+}
+
+double evidenceThreshold(double falseEjectionsPerTargetDay, double observationsPerSecond)
+{
+    const double observationsPerDay = std::max(observationsPerSecond * secondsPerDay, leastObservationsPerDay);
+    const double alternatives = cusumAlternatives;
+    return std::max(leastThreshold, std::log(alternatives * observationsPerDay / falseEjectionsPerTargetDay));
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/judge/inflight_table.cpp
@@ -0,0 +1,36 @@
+#include "judge/inflight_table.hpp"
+
+namespace flamingofield {
+
+std::uint64_t inflight_table::begin(int service, std::size_t target, std::uint64_t source, instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::uint64_t number = m_next++;
+    m_entries.emplace(number, entry{service, target, source, now, false});
+    return number;
+}
+
+bool inflight_table::end(std::uint64_t number)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(number);
+    const bool reported = found->second.reported;
+    m_entries.erase(found);
+    return reported;
+}
+
+std::vector<observation> inflight_table::collectLate(instant now, const std::function<duration(int service)> &limitOf)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<observation> late;
+    for (auto &[number, e] : m_entries) {
+        const duration age = now - e.begun;
+        if (!e.reported && age > limitOf(e.service)) {
+            e.reported = true;
+            late.push_back({e.service, e.target, observed::lateSoFar, age, now, e.source, false});
+        }
+    }
+    return late;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/judge/service_judge.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "judge/detector.hpp"
+#include "judge/latency_reference.hpp"
+#include "judge/observation.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingofield {
+
+enum class target_state { inService, warming, ejected, trial, ramping, leaving };
+
+/// Name of a state for logs and status.
+const char *toString(target_state state);
+
+/// A peer's evidence about a target.
+struct peer_evidence
+{
+    double score = 0.0; ///< Nats, as from evidenceOf.
+    int observations = 0; ///< In the last few seconds.
+    instant heardAt;
+};
+
+/// Row of a judge's table: one target.
+struct judged_target
+{
+    std::string address;
+    int slots = 0;
+    target_state state = target_state::warming;
+    instant since;
+    detector test;
+    latency_estimate latency;
+    double longBad = 0.0; ///< Decayed counts from which the healthy rate is learned.
+    double longTotal = 0.0;
+    double shortBad = 0.0;
+    double shortTotal = 0.0;
+    int batchGood = 0; ///< Since the last tick.
+    int batchBad = 0;
+    std::uint64_t lastBadSource = 0;
+    instant lastBadAt;
+    int relapses = 0;
+    instant holdUntil;
+    instant trialSentAt;
+    int trialsPassed = 0;
+    bool isReduced = false; ///< Sick, but kept at a reduced weight for the floor.
+    bool isPathBlamed = false; ///< Ejected here although peers see it well.
+    bool isListed = true; ///< Still in the operator's text.
+    std::map<std::uint64_t, peer_evidence> peers; ///< By incarnation.
+};
+
+/// A change of state, for counters and logs.
+struct judge_event
+{
+    enum class kind {
+        ejected,
+        denied,
+        pathBlamed,
+        restored,
+        trialStarted,
+        readmitted,
+        relapsed,
+        leaving,
+        selfSuspected
+    } what
+        = kind::ejected;
+    std::string target;
+    double evidence = 0.0;
+};
+
+/// Name of an event for logs.
+const char *toString(judge_event::kind kind);
+
+/// How a service is judged.
+struct judge_policy
+{
+    judge_kind kind = judge_kind::sequential;
+    double falseEjectionsPerTargetDay = 1.0;
+    int floorSlots = 0;
+    bool usesPeers = true;
+    bool usesRelative = true; ///< Compare with the service's other targets, and count slow answers.
+};
+
+/// Evidence about one target, to be sent to the other members.
+struct evidence_report
+{
+    std::string target;
+    double score = 0.0;
+    int observations = 0;
+};
+
+/// Judges the targets of one service. A plain table with systems that run over it; not thread-safe, reads no clock.
+class service_judge
+{
+public:
+    explicit service_judge(judge_policy policy);
+
+    /// Sets the targets of the text; rows that are no longer listed leave.
+    void setTargets(const std::vector<target_spec> &targets, instant now);
+
+    void setPolicy(judge_policy policy)
+    {
+        m_policy = policy;
+    }
+
+    /// Takes in one observation of this node.
+    void observe(const observation &o);
+
+    /// Takes in a peer's evidence.
+    void hearPeer(std::uint64_t peer, const evidence_report &report, instant now);
+
+    /// Marks a target as leaving or back, as said by itself, a peer or the text.
+    void setLeaving(std::size_t target, bool isLeaving, instant now);
+
+    /// Runs the systems: score, decide, floor, trials, ramps.
+    std::vector<judge_event> tick(instant now);
+
+    /// Share of work for a target, 0 to 1.
+    double weightOf(std::size_t target, instant now) const;
+
+    /// True if a trial request should be let through now; it is then counted as sent.
+    bool takeTrial(std::size_t target, instant now);
+
+    /// Evidence worth telling the other members.
+    std::vector<evidence_report> reports() const;
+
+    /// Age after which a request is late.
+    duration lateLimit() const
+    {
+        return m_slowLimit;
+    }
+
+    /// Evidence at which a target is ejected at present.
+    double threshold() const
+    {
+        return m_threshold;
+    }
+
+    const std::vector<judged_target> &targets() const
+    {
+        return m_targets;
+    }
+
+private:
+    bool isBad(const observation &o) const;
+    bool countsAgain(judged_target &t, const observation &o) const;
+    void observeTrial(judged_target &t, const observation &o);
+    void scoreBatches(instant now);
+    void learnRates(instant now);
+    double healthyBadRate(std::size_t target) const;
+    double combinedEvidence(const judged_target &t, instant now) const;
+    bool isDeniedByPeers(const judged_target &t, instant now) const;
+    bool suspectsItself(instant now) const;
+    void decide(instant now, std::vector<judge_event> &events);
+    void eject(judged_target &t, instant now);
+    void advanceStates(instant now, std::vector<judge_event> &events);
+    void updateThreshold();
+
+    judge_policy m_policy;
+    std::vector<judged_target> m_targets;
+    duration m_slowLimit = milliseconds(500);
+    double m_threshold = 15.0;
+    instant m_lastTick;
+    bool m_isSelfSuspected = false;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/once/outcome_table.cpp
@@ -0,0 +1,96 @@
+#include "once/outcome_table.hpp"
+
+#include <limits>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr std::size_t entryOverheadBytes = 250; // Map nodes, key text and control block.
+
+} // namespace
+
+begin_result outcome_table::begin(const idempotency_key &key, std::uint32_t nowEpoch)
+{
+    if (key.incarnation != m_incarnation) {
+        return run_unknown{"the key names another incarnation"};
+    }
+    const std::string text = toString(key);
+    const auto found = m_entries.find(text);
+    if (found != m_entries.end()) {
+        return found->second.state;
+    }
+    if (static_cast<std::uint64_t>(key.epoch) + m_limits.retentionSeconds < nowEpoch) {
+        return run_unknown{"the key is older than outcomes are kept"};
+    }
+    if (key.epoch > nowEpoch + m_limits.epochSlackSeconds) {
+        return run_closed{"the key's epoch lies in the future"};
+    }
+    if (m_entries.size() >= m_limits.entries || m_bytes >= m_limits.bytes) {
+        m_closedThrough = std::max<std::uint64_t>(m_closedThrough, std::uint64_t{nowEpoch} + m_limits.epochSlackSeconds + 1);
+    }
+    if (key.epoch < m_closedThrough) {
+        return run_closed{"the node takes no new work of this epoch; ask for addresses again"};
+    }
+    m_entries.emplace(text, entry{run_in_progress{}, text.size() + entryOverheadBytes});
+    m_byEpoch.emplace(key.epoch, text);
+    m_bytes += text.size() + entryOverheadBytes;
+    return run_granted{};
+}
+
+begin_result outcome_table::find(const idempotency_key &key) const
+{
+    const auto found = m_entries.find(toString(key));
+    return found == m_entries.end() ? begin_result(run_granted{}) : found->second.state;
+}
+
+void outcome_table::settle(const idempotency_key &key, begin_result state, std::size_t bytes)
+{
+    const auto found = m_entries.find(toString(key));
+    if (found == m_entries.end() || !std::holds_alternative<run_in_progress>(found->second.state)) {
+        return;
+    }
+    found->second.state = std::move(state);
+    found->second.bytes += bytes;
+    m_bytes += bytes;
+}
+
+void outcome_table::finish(const idempotency_key &key, recorded_answer answer)
+{
+    const std::size_t bytes = answer.body.size() + answer.contentType.size();
+    settle(key, run_recorded{std::make_shared<const recorded_answer>(std::move(answer))}, bytes);
+}
+
+void outcome_table::close(const idempotency_key &key, std::string reason)
+{
+    const std::size_t bytes = reason.size();
+    settle(key, run_closed{std::move(reason)}, bytes);
+}
+
+void outcome_table::lose(const idempotency_key &key, std::string reason)
+{
+    const std::size_t bytes = reason.size();
+    settle(key, run_unknown{std::move(reason)}, bytes);
+}
+
+void outcome_table::closeAll()
+{
+    m_closedThrough = std::numeric_limits<std::uint64_t>::max();
+}
+
+void outcome_table::expire(std::uint32_t nowEpoch)
+{
+    auto at = m_byEpoch.begin();
+    while (at != m_byEpoch.end() && std::uint64_t{at->first} + m_limits.retentionSeconds < nowEpoch) {
+        const auto found = m_entries.find(at->second);
+        if (std::holds_alternative<run_in_progress>(found->second.state)) {
+            ++at;
+            continue;
+        }
+        m_bytes -= found->second.bytes;
+        m_entries.erase(found);
+        at = m_byEpoch.erase(at);
+    }
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/standins/child_process.cpp
@@ -0,0 +1,126 @@
+#include "child_process.hpp"
+
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ; // NOLINT(readability-redundant-declaration)
+
+namespace standins {
+
+using flamingofield::error;
+
+namespace {
+
+/// Gives the child an empty signal mask and its own log.
+class spawn_options
+{
+public:
+    explicit spawn_options(const std::string &log)
+    {
+        sigset_t none;
+        sigemptyset(&none);
+        posix_spawnattr_init(&attributes);
+        posix_spawnattr_setsigmask(&attributes, &none);
+        posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+        posix_spawn_file_actions_init(&files);
+        posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
+
+    ~spawn_options()
+    {
+        posix_spawnattr_destroy(&attributes);
+        posix_spawn_file_actions_destroy(&files);
+    }
+
+    spawn_options(const spawn_options &) = delete;
+    spawn_options &operator=(const spawn_options &) = delete;
+
+    posix_spawnattr_t attributes{};
+    posix_spawn_file_actions_t files{};
+};
+
+} // namespace
+
+flamingofield::result<child_process> child_process::start(const std::vector<std::string> &words, const std::string &log)
+{
+    std::vector<char *> arguments;
+    for (const auto &word : words) {
+        arguments.push_back(const_cast<char *>(word.c_str()));
+    }
+    arguments.push_back(nullptr);
+    const spawn_options options(log);
+    child_process started;
+    const int failure = posix_spawn(&started.m_pid, arguments[0], &options.files, &options.attributes, arguments.data(), environ);
+    if (failure != 0) {
+        started.m_pid = 0;
+        return error{"start process", words[0], std::strerror(failure)};
+    }
+    return started;
+}
+
+child_process::~child_process()
+{
+    if (m_pid > 0) {
+        signal(SIGKILL);
+        wait();
+    }
+}
+
+child_process::child_process(child_process &&other) noexcept
+    : m_pid(other.m_pid)
+{
+    other.m_pid = 0;
+}
+
+child_process &child_process::operator=(child_process &&other) noexcept
+{
+    std::swap(m_pid, other.m_pid);
+    return *this;
+}
+
+void child_process::signal(int number) const
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, number);
+    }
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    ::waitpid(m_pid, &status, 0);
+    m_pid = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+process_usage usageOf(int pid)
+{
+    process_usage usage;
+    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+    std::string line;
+    std::getline(file, line);
+    std::istringstream fields(line.substr(line.rfind(')') + 2));
+    std::string skipped;
+    for (int i = 0; i < 11; ++i) {
+        fields >> skipped;
+    }
+    double userTicks = 0.0;
+    double systemTicks = 0.0;
+    fields >> userTicks >> systemTicks;
+    usage.cpuSeconds = (userTicks + systemTicks) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    for (int i = 0; i < 8; ++i) {
+        fields >> skipped;
+    }
+    std::size_t pages = 0;
+    fields >> pages;
+    usage.residentBytes = pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    return usage;
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/platform.cpp
@@ -0,0 +1,170 @@
+#include "platform.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace standins {
+
+using flamingofield::http_answer;
+using flamingofield::http_request;
+using flamingofield::milliseconds;
+
+namespace {
+
+flamingofield::connection_limits limits()
+{
+    flamingofield::connection_limits l;
+    l.threads = 400; // A waiting watch holds one.
+    l.queue = 4096;
+    l.bodyBytes = 2U << 20U;
+    return l;
+}
+
+std::uint64_t numberOf(const std::string &text)
+{
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+platform::platform()
+    : m_server(limits(), [this](const http_request &request) { return handle(request); })
+{
+}
+
+platform::~platform()
+{
+    stop();
+}
+
+flamingofield::result<std::uint16_t> platform::start(const flamingofield::endpoint &address)
+{
+    return m_server.start(address);
+}
+
+void platform::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_published.notify_all();
+    m_server.stop();
+}
+
+std::uint64_t platform::publish(const std::string &text)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::uint64_t revision = m_texts.empty() ? 1 : m_texts.rbegin()->first + 1;
+    m_texts.emplace(revision, text);
+    m_published.notify_all();
+    return revision;
+}
+
+void platform::setVms(std::vector<flamingofield::listed_vm> vms)
+{
+    const std::lock_guard lock(m_mutex);
+    m_vms = std::move(vms);
+}
+
+void platform::setBehaviour(const platform_behaviour &behaviour)
+{
+    const std::lock_guard lock(m_mutex);
+    m_behaviour = behaviour;
+    m_published.notify_all();
+}
+
+std::uint64_t platform::reads() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_reads;
+}
+
+std::uint64_t platform::refusals() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_refusals;
+}
+
+std::uint64_t platform::peakReadsPerSecond() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_peak;
+}
+
+bool platform::countRead()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = std::chrono::steady_clock::now();
+    while (!m_recent.empty() && now - m_recent.front() > flamingofield::seconds(1)) {
+        m_recent.pop_front();
+    }
+    ++m_reads;
+    m_recent.push_back(now);
+    m_peak = std::max<std::uint64_t>(m_peak, m_recent.size());
+    const bool isAllowed = static_cast<double>(m_recent.size()) <= m_behaviour.mostReadsPerSecond && !m_behaviour.isAway;
+    m_refusals += isAllowed ? 0 : 1;
+    return isAllowed;
+}
+
+std::uint64_t platform::visibleRevision() const
+{
+    const std::uint64_t newest = m_texts.empty() ? 0 : m_texts.rbegin()->first;
+    return m_behaviour.staleRevision > 0 ? std::min(newest, m_behaviour.staleRevision) : newest;
+}
+
+http_answer platform::handle(const http_request &request)
+{
+    if (request.path == "/control/config" && request.method == "PUT") {
+        http_answer answer;
+        answer.body = "{\"revision\":" + std::to_string(publish(request.body)) + "}";
+        return answer;
+    }
+    if (!countRead()) {
+        http_answer answer;
+        answer.status = 429;
+        return answer;
+    }
+    return request.path == "/v1/vms" ? vms() : config(request);
+}
+
+http_answer platform::config(const http_request &request)
+{
+    const std::uint64_t after = numberOf(request.parameter("after"));
+    const milliseconds wait(numberOf(request.parameter("waitMs")));
+    std::unique_lock lock(m_mutex);
+    if (m_behaviour.delay.count() > 0) {
+        const milliseconds delay = m_behaviour.delay;
+        lock.unlock();
+        std::this_thread::sleep_for(delay);
+        lock.lock();
+    }
+    m_published.wait_for(lock, wait, [&] { return visibleRevision() > after || m_isStopping || m_behaviour.isAway; });
+    http_answer answer;
+    answer.contentType = "application/toml";
+    const std::uint64_t revision = visibleRevision();
+    if (m_behaviour.isAway) {
+        answer.status = 503;
+    } else if (revision == 0 || revision == after || (revision < after && wait.count() > 0)) {
+        answer.status = 204;
+    } else {
+        answer.headers.emplace("X-Revision", std::to_string(revision));
+        answer.body = m_texts.at(revision);
+    }
+    return answer;
+}
+
+http_answer platform::vms() const
+{
+    const std::lock_guard lock(m_mutex);
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto &vm : m_vms) {
+        rows.push_back({{"address", toString(vm.address)}, {"state", vm.isLeaving ? "leaving" : "live"}});
+    }
+    http_answer answer;
+    answer.body = nlohmann::json{{"vms", rows}}.dump();
+    return answer;
+}
+
+} // namespace standins
