--- a/bench/suites.hpp
+++ b/bench/suites.hpp
@@ -22,4 +22,7 @@
 /// Time that the proxy adds to a request, against direct calls in the same run.
 suite_result measurePath(const bench_arguments &arguments);
 
+/// At-most-once work under each fault, over seeds: violations of the promises.
+suite_result measureOnce(const bench_arguments &arguments);
+
 } // namespace bench
--- a/src/flamingofield/control/control_tables.cpp
+++ b/src/flamingofield/control/control_tables.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds probePeriod{1000};
 constexpr seconds expiryPeriod{5};
 constexpr double vmReadsPerSecond = 100.0; // Of the whole fleet.
-constexpr seconds leastVmInterval{5};
+constexpr seconds leastVmInterval{10};
+constexpr milliseconds readerVmInterval{1000};
 
 node_info selfInfo(const control_context &context)
 {
@@ -447,7 +448,9 @@
     m_isReadingVms = false;
     const double fleet = static_cast<double>(m_members.live(true).size() + 1);
     const auto share = std::chrono::duration_cast<duration>(std::chrono::duration<double>(fleet / vmReadsPerSecond));
-    m_nextVmRead = now + std::max<duration>(leastVmInterval, share) + milliseconds(nextSeed() % 1000);
+    // Readers pass on what the list says, so that the other nodes need to read it only rarely.
+    const duration interval = isReader() ? duration(readerVmInterval) : std::max<duration>(leastVmInterval, share);
+    m_nextVmRead = now + interval + milliseconds(nextSeed() % 300);
     if (!answer) {
         m_context.counters.add(counter::storeFailures);
         return;
@@ -455,10 +458,8 @@
     std::vector<endpoint> hints = m_context.configuration.seeds;
     for (const auto &vm : answer.value()) {
         hints.push_back(vm.address);
-        const auto before = std::find_if(m_vms.begin(), m_vms.end(), [&](const auto &v) { return v.address == vm.address; });
-        const bool wasLeaving = before != m_vms.end() && before->isLeaving;
-        if (vm.isLeaving && !wasLeaving) {
-            m_services.setLeaving(vm.address, true, now);
+        if (vm.isLeaving) {
+            m_services.tellLeaving(vm.address, now);
         }
     }
     m_vms = answer.value();
--- a/src/flamingofield/control/service_table.cpp
+++ b/src/flamingofield/control/service_table.cpp
@@ -116,34 +116,36 @@
 void service_table::hear(std::uint64_t sender, const service_report &report, instant now)
 {
     for (auto &row : m_rows) {
-        const bool isFromMember = std::find(row.members.begin(), row.members.end(), sender) != row.members.end();
-        if (hashOf(row.name) != report.service || !isFromMember) {
+        if (hashOf(row.name) != report.service) {
             continue;
         }
-        if (std::isfinite(report.demand) && report.demand >= 0.0F) {
+        // Any node may have read that a target leaves, but only members have evidence and demand.
+        const bool isFromMember = std::find(row.members.begin(), row.members.end(), sender) != row.members.end();
+        if (isFromMember && std::isfinite(report.demand) && report.demand >= 0.0F) {
             row.demands[sender] = {report.demand, now};
         }
         for (std::size_t i = 0; i < row.targets.size(); ++i) {
             const std::string &address = row.judge.targets()[i].address;
             const std::uint64_t hash = hashOf(address);
             for (const auto &e : report.evidence) {
-                if (e.target == hash) {
+                if (isFromMember && e.target == hash) {
                     row.judge.hearPeer(sender, {address, e.score, static_cast<int>(e.observations)}, now);
                 }
             }
             if (std::find(report.leaving.begin(), report.leaving.end(), hash) != report.leaving.end()) {
-                row.judge.setLeaving(i, true, now);
+                row.judge.tellLeaving(i, now);
             }
         }
     }
 }
 
-void service_table::setLeaving(const endpoint &target, bool isLeaving, instant now)
+void service_table::tellLeaving(const endpoint &target, instant now)
 {
     for (auto &row : m_rows) {
         for (std::size_t i = 0; i < row.targets.size(); ++i) {
             if (row.targets[i] == target) {
-                row.judge.setLeaving(i, isLeaving, now);
+                row.judge.tellLeaving(i, now);
+                announceLeaving(row, i, now);
             }
         }
     }
@@ -218,7 +220,7 @@
 std::optional<service_report> service_table::takeReport(int row, instant now)
 {
     service_row &r = m_rows[static_cast<std::size_t>(row)];
-    if (!r.isMember) {
+    if (!r.isMember && r.leavingHashes.empty()) {
         return std::nullopt;
     }
     const double demand = r.gate->demand();
--- a/src/flamingofield/control/service_table.hpp
+++ b/src/flamingofield/control/service_table.hpp
@@ -57,8 +57,8 @@
     /// Takes in a member's report. Reports of others than members are ignored.
     void hear(std::uint64_t sender, const service_report &report, instant now);
 
-    /// Marks a target as leaving or back, wherever it is listed.
-    void setLeaving(const endpoint &target, bool isLeaving, instant now);
+    /// Marks a target as leaving wherever it is listed, as the VM list says.
+    void tellLeaving(const endpoint &target, instant now);
 
     /// Result of a health probe: it tells whether a target drains, but never clears a target that fails real work.
     void hearProbe(int row, std::size_t target, bool isDraining, instant now);
--- a/src/flamingofield/gate/connection_server.cpp
+++ b/src/flamingofield/gate/connection_server.cpp
@@ -365,7 +365,8 @@
         for (const auto &[fd, hasBytes] : expired) {
             unpark(fd);
             if (hasBytes) {
-                answerAndClose(fd, 408, "not run", "the request head did not arrive in time");
+                // The key, if any, has not been read; an earlier copy may have run.
+                answerAndClose(fd, 408, "unknown", "the request head did not arrive in time");
             } else {
                 ::close(fd);
             }
@@ -476,8 +477,10 @@
         if (!res.body.empty()) {
             return;
         }
-        const std::string body = R"({"type":"about:blank","status":)" + std::to_string(res.status)
-            + R"(,"outcome":"not run","detail":"the request could not be read"})";
+        // A body over the limit is refused at every node; any other fault may lie in this copy only.
+        const std::string outcome = res.status == 413 ? "not run" : "unknown";
+        const std::string body = R"({"type":"about:blank","status":)" + std::to_string(res.status) + R"(,"outcome":")" + outcome
+            + R"(","detail":"the request could not be read"})";
         res.set_content(body, "application/problem+json");
     }
 
--- a/src/flamingofield/gate/request_handler.cpp
+++ b/src/flamingofield/gate/request_handler.cpp
@@ -118,7 +118,7 @@
     ++m_inFlight;
     const auto snapshot = m_context.snapshots.get();
     http_answer answer = snapshot == nullptr || snapshot->text == nullptr
-        ? toAnswer({503, work_outcome::notRun, "the node has no configuration yet", "start", "", retryAfterMs})
+        ? refuse(request, {503, work_outcome::notRun, "the node has no configuration yet", "start", "", retryAfterMs})
         : route(request, *snapshot);
     if (answer.headers.count("Flamingo-Node") == 0) {
         answer.headers.emplace("Flamingo-Node", toHex(m_context.incarnation));
@@ -135,7 +135,8 @@
     }
     const int index = snapshot.routes->match(request.method, request.path);
     if (index < 0) {
-        return toAnswer({404, work_outcome::notRun, "no route for " + request.method + " " + request.path.substr(0, 200), "route", "", 0});
+        return refuse(request,
+                      {404, work_outcome::notRun, "no route for " + request.method + " " + request.path.substr(0, 200), "route", "", 0});
     }
     const route_spec &found = snapshot.text->routes[static_cast<std::size_t>(index)];
     const auto service = static_cast<std::size_t>(findService(*snapshot.text, found.service));
@@ -165,6 +166,23 @@
     return serve(work);
 }
 
+/// Refuses a request before its work was looked at. An earlier copy may have run here or elsewhere, so "not run" is
+/// only said where this node can close the key.
+http_answer request_handler::refuse(const http_request &request, problem p)
+{
+    const auto key = parseIdempotencyKey(request.header("Idempotency-Key"));
+    if (!key) {
+        return toAnswer(p);
+    }
+    const begin_result begun = m_context.outcomes.begin(key.value(), std::chrono::steady_clock::now());
+    if (std::holds_alternative<run_granted>(begun)) {
+        m_context.outcomes.close(key.value(), p.detail);
+    } else if (!std::holds_alternative<run_closed>(begun)) {
+        p.outcome = work_outcome::unknown;
+    }
+    return toAnswer(p);
+}
+
 http_answer request_handler::serve(const job &work)
 {
     http_answer answer = work.route.idempotent ? serveIdempotent(work) : serveOnce(work);
--- a/src/flamingofield/gate/request_handler.hpp
+++ b/src/flamingofield/gate/request_handler.hpp
@@ -47,6 +47,7 @@
     struct attempt_result;
 
     http_answer route(const http_request &request, const fleet_snapshot &snapshot);
+    http_answer refuse(const http_request &request, problem p);
     http_answer serve(const job &work);
     http_answer serveOnce(const job &work);
     http_answer runOnce(const job &work, const idempotency_key &key);
--- a/src/flamingofield/judge/service_judge.hpp
+++ b/src/flamingofield/judge/service_judge.hpp
@@ -45,6 +45,7 @@
     instant holdUntil;
     instant trialSentAt;
     int trialsPassed = 0;
+    instant toldLeavingUntil; ///< Another than the target itself says that it leaves.
     bool isReduced = false; ///< Sick, but kept at a reduced weight for the floor.
     bool isPathBlamed = false; ///< Ejected here although peers see it well.
     bool isListed = true; ///< Still in the operator's text.
@@ -111,9 +112,12 @@
     /// Takes in a peer's evidence.
     void hearPeer(std::uint64_t peer, const evidence_report &report, instant now);
 
-    /// Marks a target as leaving or back, as said by itself, a peer or the text.
+    /// Marks a target as leaving or back, as said by itself.
     void setLeaving(std::size_t target, bool isLeaving, instant now);
 
+    /// Marks a target as leaving for a while, as said by a peer or the VM list.
+    void tellLeaving(std::size_t target, instant now);
+
     /// Runs the systems: score, decide, floor, trials, ramps.
     std::vector<judge_event> tick(instant now);
 
--- a/standins/backend_server.hpp
+++ b/standins/backend_server.hpp
@@ -48,8 +48,8 @@
     /// All work that was started.
     std::uint64_t started() const;
 
-    /// Work that was started after draining began.
-    std::uint64_t startedWhileDraining() const;
+    /// Requests for work that were received, run or not.
+    std::uint64_t offered() const;
 
 private:
     flamingofield::http_answer handle(const flamingofield::http_request &request);
@@ -69,7 +69,7 @@
     bool m_isStopping = false;
     std::map<std::string, int> m_runs;
     std::uint64_t m_started = 0;
-    std::uint64_t m_startedWhileDraining = 0;
+    std::uint64_t m_offered = 0;
     std::mt19937_64 m_random;
     flamingofield::connection_server m_server;
 };
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -94,7 +94,7 @@
     } else {
         const std::vector<entry_address> nodes = addresses(service);
         if (nodes.empty()) {
-            result.outcome = "not run";
+            result.outcome = "no answer";
             result.detail = "no addresses";
             return result;
         }
@@ -122,10 +122,10 @@
         result.outcome = outcomeOf(*answer);
         result.body = answer->body;
     } else if (const auto *unsent = std::get_if<backend_not_sent>(&outcome)) {
-        result.outcome = "not run";
+        result.outcome = "no answer";
         result.detail = unsent->reason;
     } else {
-        result.outcome = "unknown";
+        result.outcome = "no answer";
         result.detail = std::get<flamingofield::backend_lost>(outcome).reason;
     }
     return result;
--- a/standins/caller.hpp
+++ b/standins/caller.hpp
@@ -21,7 +21,7 @@
 struct call_result
 {
     int status = 0; ///< 0 if no whole answer came.
-    std::string outcome; ///< "done", "not run" or "unknown".
+    std::string outcome; ///< "done", "not run", "unknown", or "no answer" where the entry VM said nothing.
     std::string body;
     std::string detail;
     flamingofield::duration latency{};
