Measure the judge with seeded runs of the decision functions, baselines in the same run

Change: bench judge drives the judges of all members of a service through 19 faults over seeds, with two baselines (5 failures in a row; 40% of 20) that get the same observations, late ones included. A restart is told from sickness by refused connections; an ejection that most members made is adopted without own evidence.

--- /dev/null
+++ b/bench/judge_suite.cpp
@@ -0,0 +1,250 @@
+#include "judge_model.hpp"
+#include "suites.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <future>
+#include <thread>
+
+namespace bench {
+
+using flamingofield::judge_kind;
+using flamingofield::judge_policy;
+
+namespace {
+
+constexpr double allBadTargetSeconds = 1.0;
+constexpr double thirtyBadTargetSeconds = 5.0;
+
+struct named_policy
+{
+    std::string name;
+    judge_policy policy;
+};
+
+judge_policy sequential(double falseEjectionsPerDay, int floorSlots)
+{
+    judge_policy policy;
+    policy.falseEjectionsPerTargetDay = falseEjectionsPerDay;
+    policy.floorSlots = floorSlots;
+    return policy;
+}
+
+judge_policy baseline(judge_kind kind, int limit, int floorSlots)
+{
+    judge_policy policy;
+    policy.kind = kind;
+    policy.baselineLimit = limit;
+    policy.floorSlots = floorSlots;
+    policy.usesPeers = false;
+    policy.usesRelative = false;
+    return policy;
+}
+
+struct deployment
+{
+    std::string name;
+    judge_model_plan plan;
+    double falseEjectionsPerDay;
+};
+
+std::vector<deployment> deployments()
+{
+    deployment suszarnia{"suszarnia wilgoc", {}, 4.0};
+    deployment cascadia{"cascadia ledger", {}, 0.02};
+    cascadia.plan.targets = 9;
+    cascadia.plan.slots = 6;
+    cascadia.plan.members = 12;
+    cascadia.plan.floorSlots = 36;
+    cascadia.plan.requestsPerSecond = 180.0;
+    return {suszarnia, cascadia};
+}
+
+struct summary
+{
+    std::vector<double> detections;
+    int undetected = 0;
+    int falseEjections = 0;
+    int floorViolations = 0;
+    double targetHours = 0.0;
+    double sickShare = 0.0;
+};
+
+summary runSeeds(judge_model_plan plan, const bench_arguments &arguments)
+{
+    std::vector<std::future<judge_model_result>> runs;
+    summary sum;
+    for (int i = 0; i < arguments.seeds; ++i) {
+        plan.seed = arguments.seed + static_cast<std::uint64_t>(i);
+        runs.push_back(std::async(std::launch::async, [plan] { return runJudgeModel(plan); }));
+    }
+    for (auto &run : runs) {
+        const judge_model_result r = run.get();
+        sum.undetected += r.detectionSeconds < 0.0 ? 1 : 0;
+        if (r.detectionSeconds >= 0.0) {
+            sum.detections.push_back(r.detectionSeconds);
+        }
+        sum.falseEjections += r.falseEjections;
+        sum.floorViolations += r.floorViolations + r.fleetFloorViolations;
+        sum.targetHours += r.targetHours;
+        sum.sickShare += r.sickShare / arguments.seeds;
+    }
+    std::sort(sum.detections.begin(), sum.detections.end());
+    return sum;
+}
+
+double worst(const summary &s)
+{
+    return s.undetected > 0 || s.detections.empty() ? -1.0 : s.detections.back();
+}
+
+double median(const summary &s)
+{
+    return s.detections.empty() ? -1.0 : s.detections[s.detections.size() / 2];
+}
+
+bool isDetectable(judge_fault fault)
+{
+    return fault == judge_fault::allTimeOut || fault == judge_fault::failThirty || fault == judge_fault::failFifteen || fault == judge_fault::halfSlow
+        || fault == judge_fault::flapOneSecond || fault == judge_fault::flapFourSeconds || fault == judge_fault::flapFifteenSeconds
+        || fault == judge_fault::slowAndTimeOut || fault == judge_fault::pausedAndFailThirty;
+}
+
+std::optional<double> detectionTarget(judge_fault fault)
+{
+    if (fault == judge_fault::allTimeOut) {
+        return allBadTargetSeconds;
+    }
+    return fault == judge_fault::failThirty ? std::optional<double>(thirtyBadTargetSeconds) : std::nullopt;
+}
+
+void addRows(suite_result &result, const std::string &prefix, judge_fault fault, const named_policy &policy, const summary &s)
+{
+    const std::string name = prefix + ", " + toString(fault);
+    const bool isOurs = policy.policy.kind == judge_kind::sequential;
+    if (isDetectable(fault)) {
+        const auto target = isOurs ? detectionTarget(fault) : std::nullopt;
+        result.rows.push_back({name + ": detection, median", policy.name, median(s), "s", {}});
+        result.rows.push_back({name + ": detection, worst", policy.name, worst(s), "s", target});
+    }
+    result.rows.push_back({name + ": false ejections", policy.name, static_cast<double>(s.falseEjections), "ejections", isOurs ? std::optional<double>(0.0) : std::nullopt});
+    result.rows.push_back({name + ": floor violations", policy.name, static_cast<double>(s.floorViolations), "ticks", 0.0});
+}
+
+/// A point of the picture: detection time against false ejections.
+struct curve_point
+{
+    double detectionSeconds;
+    double falsePerHour;
+};
+
+struct curve
+{
+    std::string name;
+    std::string colour;
+    std::vector<curve_point> points;
+};
+
+curve_point measurePoint(const judge_policy &policy, const bench_arguments &arguments)
+{
+    // Detection of a target that fails 30%, and false ejections while the whole service is troubled.
+    judge_model_plan plan;
+    plan.policy = policy;
+    plan.healthyBadRate = 0.03;
+    plan.fault = judge_fault::failThirty;
+    const summary detection = runSeeds(plan, arguments);
+    summary calm;
+    for (const auto fault : {judge_fault::none, judge_fault::dependencySick, judge_fault::memberPaused, judge_fault::allSlow}) {
+        plan.fault = fault;
+        const summary s = runSeeds(plan, arguments);
+        calm.falseEjections += s.falseEjections;
+        calm.targetHours += s.targetHours;
+    }
+    const double detectionSeconds = detection.undetected > arguments.seeds / 2 ? plan.faultSeconds : median(detection);
+    return {detectionSeconds, calm.falseEjections / calm.targetHours};
+}
+
+std::vector<curve> measureCurves(const bench_arguments &arguments)
+{
+    curve ours{"sequential", "#c0392b", {}};
+    for (const double accepted : {1000.0, 100.0, 10.0, 1.0, 0.1, 0.01}) {
+        ours.points.push_back(measurePoint(sequential(accepted, 20), arguments));
+    }
+    curve inRow{"N in a row, N = 2 to 8", "#2980b9", {}};
+    for (int limit = 2; limit <= 8; ++limit) {
+        inRow.points.push_back(measurePoint(baseline(judge_kind::consecutive, limit, 20), arguments));
+    }
+    curve share{"share of 20, 3 to 12", "#27ae60", {}};
+    for (int limit = 3; limit <= 12; limit += 2) {
+        share.points.push_back(measurePoint(baseline(judge_kind::percentage, limit, 20), arguments));
+    }
+    return {ours, inRow, share};
+}
+
+void writePicture(const std::vector<curve> &curves, const std::string &path)
+{
+    constexpr double width = 640.0;
+    constexpr double height = 420.0;
+    constexpr double margin = 60.0;
+    constexpr double mostSeconds = 40.0;
+    const auto x = [&](double s) { return margin + (width - 2 * margin) * std::min(s, mostSeconds) / mostSeconds; };
+    const auto y = [&](double perHour) { return height - margin - (height - 2 * margin) * std::log10(1.0 + perHour) / 3.0; };
+    std::ofstream out(path);
+    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height << "\" font-family=\"sans-serif\" font-size=\"12\">"
+        << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>"
+        << "<text x=\"" << margin << "\" y=\"20\">Detection of a target that fails 30%, against false ejections under faults of others</text>"
+        << "<text x=\"" << width / 2 - 80 << "\" y=\"" << height - 15 << "\">detection, median, s</text>"
+        << "<text transform=\"translate(15 " << height / 2 + 90 << ") rotate(-90)\">false ejections per target-hour (log of 1 + n)</text>";
+    for (const double s : {0.0, 10.0, 20.0, 30.0, 40.0}) {
+        out << "<text x=\"" << x(s) << "\" y=\"" << height - margin + 18 << "\">" << s << "</text>";
+    }
+    for (const double n : {0.0, 1.0, 10.0, 100.0, 1000.0}) {
+        out << "<text x=\"" << margin - 35 << "\" y=\"" << y(n) + 4 << "\">" << n << "</text><line x1=\"" << margin << "\" x2=\"" << width - margin << "\" y1=\"" << y(n)
+            << "\" y2=\"" << y(n) << "\" stroke=\"#ddd\"/>";
+    }
+    int legend = 0;
+    for (const auto &c : curves) {
+        out << "<polyline fill=\"none\" stroke=\"" << c.colour << "\" points=\"";
+        for (const auto &p : c.points) {
+            out << x(p.detectionSeconds) << "," << y(p.falsePerHour) << " ";
+        }
+        out << "\"/>";
+        for (const auto &p : c.points) {
+            out << "<circle r=\"4\" cx=\"" << x(p.detectionSeconds) << "\" cy=\"" << y(p.falsePerHour) << "\" fill=\"" << c.colour << "\"/>";
+        }
+        out << "<text x=\"" << width - margin - 150 << "\" y=\"" << 50 + 18 * legend++ << "\" fill=\"" << c.colour << "\">" << c.name << "</text>";
+    }
+    out << "</svg>\n";
+}
+
+} // namespace
+
+suite_result measureJudge(const bench_arguments &arguments)
+{
+    suite_result result{"judge", arguments.seed, {}};
+    for (const auto &d : deployments()) {
+        const std::vector<named_policy> policies{{"sequential", sequential(d.falseEjectionsPerDay, d.plan.floorSlots)},
+                                                 {"5 in a row", baseline(judge_kind::consecutive, 5, d.plan.floorSlots)},
+                                                 {"40% of 20", baseline(judge_kind::percentage, 8, d.plan.floorSlots)}};
+        std::vector<int> falseSums(policies.size(), 0);
+        for (const auto fault : allJudgeFaults()) {
+            for (std::size_t p = 0; p < policies.size(); ++p) {
+                judge_model_plan plan = d.plan;
+                plan.policy = policies[p].policy;
+                plan.fault = fault;
+                const summary s = runSeeds(plan, arguments);
+                falseSums[p] += s.falseEjections;
+                addRows(result, d.name, fault, policies[p], s);
+            }
+        }
+        for (std::size_t p = 0; p < policies.size(); ++p) {
+            result.rows.push_back({d.name + ", all faults: false ejections", policies[p].name, static_cast<double>(falseSums[p]), "ejections", {}});
+        }
+    }
+    if (!arguments.svg.empty()) {
+        writePicture(measureCurves(arguments), arguments.svg);
+    }
+    return result;
+}
+
+} // namespace bench
--- a/bench/suites.hpp
+++ b/bench/suites.hpp
@@ -25,4 +25,7 @@
 /// At-most-once work under each fault, over seeds: violations of the promises.
 suite_result measureOnce(const bench_arguments &arguments);
 
+/// Detection time and false ejections of the policies under each fault, from seeded runs of the decision functions.
+suite_result measureJudge(const bench_arguments &arguments);
+
 } // namespace bench
--- a/src/flamingofield/control/service_table.cpp
+++ b/src/flamingofield/control/service_table.cpp
@@ -90,6 +90,7 @@
 {
     service_row &r = m_rows[static_cast<std::size_t>(row)];
     r.isMember = std::find(members.begin(), members.end(), self) != members.end();
+    r.judge.setMemberCount(static_cast<int>(members.size()));
     r.members = std::move(members);
 }
 
--- a/src/flamingofield/judge/detector.cpp
+++ b/src/flamingofield/judge/detector.cpp
@@ -14,9 +14,7 @@
 constexpr double secondsPerDay = 86400.0;
 constexpr double leastThreshold = 6.0;
 constexpr double leastObservationsPerDay = 1000.0;
-constexpr int consecutiveLimit = 5;
 constexpr int percentageWindow = 20;
-constexpr int percentageLimit = 8; // 40% of the window.
 
 void addBatch(cusum &test, double alternative, const evidence_batch &batch)
 {
@@ -45,7 +43,7 @@
 
 void observeBatch(consecutive_detector &d, const evidence_batch &batch)
 {
-    if (d.inRow < consecutiveLimit) {
+    if (d.inRow < d.limit) {
         d.inRow = batch.good > 0 ? 0 : d.inRow + batch.bad;
     }
 }
@@ -67,7 +65,7 @@
 bool isConvicted(const percentage_detector &d)
 {
     const std::uint32_t window = d.history & ((1U << static_cast<unsigned>(percentageWindow)) - 1U);
-    return d.filled >= percentageWindow && __builtin_popcount(window) >= percentageLimit;
+    return d.filled >= percentageWindow && __builtin_popcount(window) >= d.limit;
 }
 
 const cusum &strongest(const sequential_detector &d)
@@ -91,13 +89,19 @@
 
 } // namespace
 
-detector makeDetector(judge_kind kind)
+detector makeDetector(judge_kind kind, int limit)
 {
     switch (kind) {
-    case judge_kind::consecutive:
-        return consecutive_detector{};
-    case judge_kind::percentage:
-        return percentage_detector{};
+    case judge_kind::consecutive: {
+        consecutive_detector d;
+        d.limit = limit > 0 ? limit : d.limit;
+        return d;
+    }
+    case judge_kind::percentage: {
+        percentage_detector d;
+        d.limit = limit > 0 ? limit : d.limit;
+        return d;
+    }
     case judge_kind::sequential:
         break;
     }
@@ -115,7 +119,7 @@
         return strongest(*sequential).score;
     }
     if (const auto *consecutive = std::get_if<consecutive_detector>(&d)) {
-        return consecutive->inRow >= consecutiveLimit ? threshold : 0.0;
+        return consecutive->inRow >= consecutive->limit ? threshold : 0.0;
     }
     return isConvicted(std::get<percentage_detector>(d)) ? threshold : 0.0;
 }
@@ -128,7 +132,14 @@
 
 void reset(detector &d)
 {
-    std::visit([](auto &kind) { kind = {}; }, d);
+    if (auto *consecutive = std::get_if<consecutive_detector>(&d)) {
+        consecutive->inRow = 0;
+    } else if (auto *percentage = std::get_if<percentage_detector>(&d)) {
+        percentage->history = 0;
+        percentage->filled = 0;
+    } else {
+        d = sequential_detector{};
+    }
 }
 
 double evidenceThreshold(double falseEjectionsPerTargetDay, double observationsPerSecond)
--- a/src/flamingofield/judge/detector.hpp
+++ b/src/flamingofield/judge/detector.hpp
@@ -40,6 +40,7 @@
 struct consecutive_detector
 {
     int inRow = 0;
+    int limit = 5;
 };
 
 /// Baseline: a share of failures among the last observations.
@@ -47,12 +48,14 @@
 {
     std::uint32_t history = 0; ///< Bit per observation, newest lowest.
     int filled = 0;
+    int limit = 8; ///< Failures among the last 20 observations.
 };
 
 using detector = std::variant<sequential_detector, consecutive_detector, percentage_detector>;
 
 /// Detector of the kind that the text asks for.
-detector makeDetector(judge_kind kind);
+/// @param limit of a baseline; 0 for its usual one
+detector makeDetector(judge_kind kind, int limit = 0);
 
 /// Takes in a batch of observations.
 void observe(detector &d, const evidence_batch &batch);
--- a/src/flamingofield/judge/service_judge.cpp
+++ b/src/flamingofield/judge/service_judge.cpp
@@ -35,6 +35,7 @@
 constexpr seconds relapseMemory{600};
 constexpr milliseconds longestTick{500}; // A longer gap means that this process was paused.
 constexpr double reportShare = 0.1;
+constexpr int leastAdoptedFrom = 2;
 constexpr seconds toldLeavingLifetime{10};
 
 double rampWeight(duration age, duration length)
@@ -90,7 +91,7 @@
         if (row == m_targets.end()) {
             judged_target added;
             added.address = address;
-            added.test = makeDetector(m_policy.kind);
+            added.test = makeDetector(m_policy.kind, m_policy.baselineLimit);
             // At start nothing is known of any target, so all count alike.
             added.state = isFirst ? target_state::inService : target_state::warming;
             added.since = now;
@@ -99,7 +100,7 @@
         row->slots = spec.slots;
         row->isListed = true;
         if (row->test.index() != makeDetector(m_policy.kind).index()) {
-            row->test = makeDetector(m_policy.kind);
+            row->test = makeDetector(m_policy.kind, m_policy.baselineLimit);
         }
     }
 }
@@ -142,14 +143,31 @@
     if (t.state == target_state::ejected) {
         return;
     }
+    noteRestart(t, o);
     const bool isSlowStart = t.state == target_state::warming && (o.kind == observed::good || o.kind == observed::lateSoFar);
     if (!isBad(o) || isSlowStart) {
         ++t.batchGood;
+        ++t.goodSinceDoubt;
     } else if (countsAgain(t, o)) {
         ++t.batchBad;
     }
 }
 
+void service_judge::noteRestart(judged_target &t, const observation &o)
+{
+    t.refusedInRow = o.kind == observed::connectFailed ? t.refusedInRow + 1 : t.refusedInRow;
+    if (o.kind != observed::good || t.refusedInRow == 0) {
+        return;
+    }
+    // It took no connections and now answers: a new process that may be slow at first.
+    t.refusedInRow = 0;
+    if (t.state == target_state::inService && m_policy.usesRelative) {
+        t.state = target_state::warming;
+        t.since = o.at;
+        reset(t.test);
+    }
+}
+
 void service_judge::observeTrial(judged_target &t, const observation &o)
 {
     if (isBad(o)) {
@@ -166,6 +184,10 @@
 {
     const auto row = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto &t) { return t.address == report.target; });
     if (row != m_targets.end() && std::isfinite(report.score)) {
+        const bool wasDoubted = std::any_of(row->peers.begin(), row->peers.end(), [&](const auto &p) {
+            return p.second.score > 0.0 && now - p.second.heardAt < peerEvidenceLifetime;
+        });
+        row->goodSinceDoubt = wasDoubted ? row->goodSinceDoubt : 0;
         row->peers[peer] = {std::max(report.score, 0.0), report.observations, now};
     }
 }
@@ -277,6 +299,21 @@
     return local + sum - highest;
 }
 
+int service_judge::convictingPeers(const judged_target &t, instant now) const
+{
+    int convicting = 0;
+    for (const auto &[peer, evidence] : t.peers) {
+        convicting += now - evidence.heardAt < peerEvidenceLifetime && evidence.score >= m_threshold ? 1 : 0;
+    }
+    return convicting;
+}
+
+bool service_judge::isAdopted(const judged_target &t, instant now) const
+{
+    const int needed = std::max(leastAdoptedFrom, (m_memberCount + 1) / 2);
+    return m_policy.usesPeers && t.goodSinceDoubt == 0 && convictingPeers(t, now) >= needed;
+}
+
 bool service_judge::isDeniedByPeers(const judged_target &t, instant now) const
 {
     int contrary = 0;
@@ -321,14 +358,18 @@
 void service_judge::decide(instant now, std::vector<judge_event> &events)
 {
     std::vector<floor_row> rows;
+    std::vector<bool> adopted;
     for (const auto &t : m_targets) {
         floor_row row;
         row.slots = t.slots;
         row.evidence = combinedEvidence(t, now);
         row.isEjected = isOut(t);
         row.isAbsent = !t.isListed || t.state == target_state::leaving || t.state == target_state::warming;
-        row.isSick = takesWork(t) && !t.isReduced && row.evidence >= m_threshold
-            && (!m_policy.usesRelative || isWorseThanOthers(t.test, m_threshold));
+        const bool isConvicted = row.evidence >= m_threshold && (!m_policy.usesRelative || isWorseThanOthers(t.test, m_threshold));
+        const bool isAdoptable = !isConvicted && isAdopted(t, now);
+        row.evidence = isAdoptable ? m_threshold : row.evidence;
+        row.isSick = takesWork(t) && !t.isReduced && (isConvicted || isAdoptable);
+        adopted.push_back(isAdoptable);
         rows.push_back(row);
     }
     const bool isSelfSuspected = suspectsItself(now);
@@ -345,6 +386,7 @@
         switch (decisions[i]) {
         case floor_decision::eject:
             t.isPathBlamed = isDeniedByPeers(t, now);
+            t.isAdopted = adopted[i];
             eject(t, now);
             events.push_back({t.isPathBlamed ? judge_event::kind::pathBlamed : judge_event::kind::ejected, t.address, rows[i].evidence});
             break;
@@ -433,7 +475,9 @@
 {
     std::vector<evidence_report> reports;
     for (const auto &t : m_targets) {
-        const double score = isOut(t) && !t.isPathBlamed ? m_threshold : evidenceOf(t.test, m_threshold);
+        // An adopted ejection is not told on, so that nodes do not convict on each other's echo.
+        const bool isOwnVerdict = isOut(t) && !t.isPathBlamed && !t.isAdopted;
+        const double score = isOwnVerdict ? m_threshold : evidenceOf(t.test, m_threshold);
         bool isPeerSuspicious = false;
         for (const auto &[peer, evidence] : t.peers) {
             isPeerSuspicious = isPeerSuspicious || evidence.score >= m_threshold * reportShare;
--- a/src/flamingofield/judge/service_judge.hpp
+++ b/src/flamingofield/judge/service_judge.hpp
@@ -45,8 +45,11 @@
     instant holdUntil;
     instant trialSentAt;
     int trialsPassed = 0;
+    int goodSinceDoubt = 0; ///< Good observations of this node since a peer first doubted the target.
+    int refusedInRow = 0; ///< Connections refused in a row, as by a target that restarts.
     instant toldLeavingUntil; ///< Another than the target itself says that it leaves.
     bool isReduced = false; ///< Sick, but kept at a reduced weight for the floor.
+    bool isAdopted = false; ///< Ejected because most members did, without evidence of this node.
     bool isPathBlamed = false; ///< Ejected here although peers see it well.
     bool isListed = true; ///< Still in the operator's text.
     std::map<std::uint64_t, peer_evidence> peers; ///< By incarnation.
@@ -80,6 +83,7 @@
     judge_kind kind = judge_kind::sequential;
     double falseEjectionsPerTargetDay = 1.0;
     int floorSlots = 0;
+    int baselineLimit = 0; ///< Of a baseline's detector; 0 for its usual one.
     bool usesPeers = true;
     bool usesRelative = true; ///< Compare with the service's other targets, and count slow answers.
 };
@@ -106,6 +110,12 @@
         m_policy = policy;
     }
 
+    /// Sets how many nodes share evidence, this one among them.
+    void setMemberCount(int count)
+    {
+        m_memberCount = count;
+    }
+
     /// Takes in one observation of this node.
     void observe(const observation &o);
 
@@ -150,11 +160,14 @@
 private:
     bool isBad(const observation &o) const;
     bool countsAgain(judged_target &t, const observation &o) const;
+    void noteRestart(judged_target &t, const observation &o);
     void observeTrial(judged_target &t, const observation &o);
     void scoreBatches(instant now);
     void learnRates(instant now);
     double healthyBadRate(std::size_t target) const;
     double combinedEvidence(const judged_target &t, instant now) const;
+    int convictingPeers(const judged_target &t, instant now) const;
+    bool isAdopted(const judged_target &t, instant now) const;
     bool isDeniedByPeers(const judged_target &t, instant now) const;
     bool suspectsItself(instant now) const;
     void decide(instant now, std::vector<judge_event> &events);
@@ -167,6 +180,7 @@
     duration m_slowLimit = milliseconds(500);
     double m_threshold = 15.0;
     instant m_lastTick;
+    int m_memberCount = 1;
     bool m_isSelfSuspected = false;
 };
 
