Pool recent counts of all members for the comparison that convicts a target

Change: while any target is in doubt the members tell each other decayed counts of all targets; rates are pooled, each peer's weight is capped, and evidence counts only as far as the pooled comparison with the other targets bears it out. A member whose own view contradicts the peers' uses its own evidence only. A restarted target's slow answers are not charged. The threshold counts the observations of all members.

--- a/bench/judge_model.cpp
+++ b/bench/judge_model.cpp
@@ -341,10 +341,10 @@
             if (isPaused(member, now)) {
                 continue;
             }
-            std::vector<evidence_report> reports = m_judges[member].reports();
+            std::vector<evidence_report> reports = m_judges[member].reports(now);
             if (m_plan.fault == judge_fault::lyingPeer && member == oddMember) {
                 for (const auto &t : m_judges[member].targets()) {
-                    reports.push_back({t.address, 1000.0, 100});
+                    reports.push_back({t.address, 1000.0, {100.0, 100.0}, false});
                 }
             }
             m_reports.push_back({now, member, std::move(reports)});
--- a/bench/judge_suite.cpp
+++ b/bench/judge_suite.cpp
@@ -50,8 +50,8 @@
 
 std::vector<deployment> deployments()
 {
-    deployment suszarnia{"suszarnia wilgoc", {}, 4.0};
-    deployment cascadia{"cascadia ledger", {}, 0.02};
+    deployment suszarnia{"suszarnia wilgoc", {}, 0.2};
+    deployment cascadia{"cascadia ledger", {}, 0.01};
     cascadia.plan.targets = 9;
     cascadia.plan.slots = 6;
     cascadia.plan.members = 12;
@@ -105,9 +105,9 @@
 
 bool isDetectable(judge_fault fault)
 {
-    return fault == judge_fault::allTimeOut || fault == judge_fault::failThirty || fault == judge_fault::failFifteen || fault == judge_fault::halfSlow
-        || fault == judge_fault::flapOneSecond || fault == judge_fault::flapFourSeconds || fault == judge_fault::flapFifteenSeconds
-        || fault == judge_fault::slowAndTimeOut || fault == judge_fault::pausedAndFailThirty;
+    return fault == judge_fault::allTimeOut || fault == judge_fault::failThirty || fault == judge_fault::failFifteen
+        || fault == judge_fault::halfSlow || fault == judge_fault::flapOneSecond || fault == judge_fault::flapFourSeconds
+        || fault == judge_fault::flapFifteenSeconds || fault == judge_fault::slowAndTimeOut || fault == judge_fault::pausedAndFailThirty;
 }
 
 std::optional<double> detectionTarget(judge_fault fault)
@@ -127,7 +127,8 @@
         result.rows.push_back({name + ": detection, median", policy.name, median(s), "s", {}});
         result.rows.push_back({name + ": detection, worst", policy.name, worst(s), "s", target});
     }
-    result.rows.push_back({name + ": false ejections", policy.name, static_cast<double>(s.falseEjections), "ejections", isOurs ? std::optional<double>(0.0) : std::nullopt});
+    result.rows.push_back({name + ": false ejections", policy.name, static_cast<double>(s.falseEjections), "ejections",
+                           isOurs ? std::optional<double>(0.0) : std::nullopt});
     result.rows.push_back({name + ": floor violations", policy.name, static_cast<double>(s.floorViolations), "ticks", 0.0});
 }
 
@@ -190,17 +191,19 @@
     const auto x = [&](double s) { return margin + (width - 2 * margin) * std::min(s, mostSeconds) / mostSeconds; };
     const auto y = [&](double perHour) { return height - margin - (height - 2 * margin) * std::log10(1.0 + perHour) / 3.0; };
     std::ofstream out(path);
-    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height << "\" font-family=\"sans-serif\" font-size=\"12\">"
+    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height
+        << "\" font-family=\"sans-serif\" font-size=\"12\">"
         << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>"
-        << "<text x=\"" << margin << "\" y=\"20\">Detection of a target that fails 30%, against false ejections under faults of others</text>"
+        << "<text x=\"" << margin
+        << "\" y=\"20\">Detection of a target that fails 30%, against false ejections under faults of others</text>"
         << "<text x=\"" << width / 2 - 80 << "\" y=\"" << height - 15 << "\">detection, median, s</text>"
         << "<text transform=\"translate(15 " << height / 2 + 90 << ") rotate(-90)\">false ejections per target-hour (log of 1 + n)</text>";
     for (const double s : {0.0, 10.0, 20.0, 30.0, 40.0}) {
         out << "<text x=\"" << x(s) << "\" y=\"" << height - margin + 18 << "\">" << s << "</text>";
     }
     for (const double n : {0.0, 1.0, 10.0, 100.0, 1000.0}) {
-        out << "<text x=\"" << margin - 35 << "\" y=\"" << y(n) + 4 << "\">" << n << "</text><line x1=\"" << margin << "\" x2=\"" << width - margin << "\" y1=\"" << y(n)
-            << "\" y2=\"" << y(n) << "\" stroke=\"#ddd\"/>";
+        out << "<text x=\"" << margin - 35 << "\" y=\"" << y(n) + 4 << "\">" << n << "</text><line x1=\"" << margin << "\" x2=\""
+            << width - margin << "\" y1=\"" << y(n) << "\" y2=\"" << y(n) << "\" stroke=\"#ddd\"/>";
     }
     int legend = 0;
     for (const auto &c : curves) {
@@ -210,9 +213,11 @@
         }
         out << "\"/>";
         for (const auto &p : c.points) {
-            out << "<circle r=\"4\" cx=\"" << x(p.detectionSeconds) << "\" cy=\"" << y(p.falsePerHour) << "\" fill=\"" << c.colour << "\"/>";
+            out << "<circle r=\"4\" cx=\"" << x(p.detectionSeconds) << "\" cy=\"" << y(p.falsePerHour) << "\" fill=\"" << c.colour
+                << "\"/>";
         }
-        out << "<text x=\"" << width - margin - 150 << "\" y=\"" << 50 + 18 * legend++ << "\" fill=\"" << c.colour << "\">" << c.name << "</text>";
+        out << "<text x=\"" << width - margin - 150 << "\" y=\"" << 50 + 18 * legend++ << "\" fill=\"" << c.colour << "\">" << c.name
+            << "</text>";
     }
     out << "</svg>\n";
 }
@@ -238,7 +243,8 @@
             }
         }
         for (std::size_t p = 0; p < policies.size(); ++p) {
-            result.rows.push_back({d.name + ", all faults: false ejections", policies[p].name, static_cast<double>(falseSums[p]), "ejections", {}});
+            result.rows.push_back(
+                {d.name + ", all faults: false ejections", policies[p].name, static_cast<double>(falseSums[p]), "ejections", {}});
         }
     }
     if (!arguments.svg.empty()) {
--- a/src/flamingofield/control/service_table.cpp
+++ b/src/flamingofield/control/service_table.cpp
@@ -12,6 +12,7 @@
 constexpr seconds demandLease{10}; // A silent member's share counts as held this long.
 constexpr seconds demandPeriod{4};
 constexpr milliseconds evidencePeriod{100};
+constexpr milliseconds calmEvidencePeriod{1000}; // While targets are out but none is in doubt.
 constexpr milliseconds demandChangePeriod{500};
 constexpr double demandChange = 1.0; // Slots.
 constexpr seconds leavingAnnouncement{3};
@@ -130,7 +131,7 @@
             const std::uint64_t hash = hashOf(address);
             for (const auto &e : report.evidence) {
                 if (isFromMember && e.target == hash) {
-                    row.judge.hearPeer(sender, {address, e.score, static_cast<int>(e.observations)}, now);
+                    row.judge.hearPeer(sender, {address, e.score, {e.bad, e.total}, e.isWarming}, now);
                 }
             }
             if (std::find(report.leaving.begin(), report.leaving.end(), hash) != report.leaving.end()) {
@@ -225,10 +226,11 @@
         return std::nullopt;
     }
     const double demand = r.gate->demand();
-    const std::vector<evidence_report> evidence = r.judge.reports();
+    const std::vector<evidence_report> evidence = r.judge.reports(now);
     const bool isLeavingDue = !r.leavingHashes.empty();
     const duration sinceSent = now - r.lastSentAt;
-    const bool isEvidenceDue = (!evidence.empty() || r.hadEvidence || isLeavingDue) && sinceSent >= evidencePeriod;
+    const duration period = r.judge.isInDoubt(now) || isLeavingDue ? evidencePeriod : calmEvidencePeriod;
+    const bool isEvidenceDue = (!evidence.empty() || r.hadEvidence || isLeavingDue) && sinceSent >= period;
     const bool isDemandChanged
         = std::abs(demand - r.lastSentDemand) >= std::max(demandChange, 0.3 * r.lastSentDemand) && sinceSent >= demandChangePeriod;
     if (!isEvidenceDue && !isDemandChanged && sinceSent < demandPeriod) {
@@ -238,7 +240,8 @@
     report.service = hashOf(r.name);
     report.demand = static_cast<float>(demand);
     for (const auto &e : evidence) {
-        report.evidence.push_back({hashOf(e.target), static_cast<float>(e.score), static_cast<std::uint32_t>(std::max(e.observations, 0))});
+        report.evidence.push_back({hashOf(e.target), static_cast<float>(e.score), static_cast<float>(e.recent.bad),
+                                   static_cast<float>(e.recent.total), e.isWarming});
     }
     report.leaving = r.leavingHashes;
     if (now > r.leavingUntil) {
--- a/src/flamingofield/fleet/peer_message.cpp
+++ b/src/flamingofield/fleet/peer_message.cpp
@@ -109,10 +109,12 @@
         out.pack(b.demand);
         out.pack_array(static_cast<std::uint32_t>(b.evidence.size()));
         for (const auto &e : b.evidence) {
-            out.pack_array(3);
+            out.pack_array(5);
             out.pack(e.target);
             out.pack(e.score);
-            out.pack(e.observations);
+            out.pack(e.bad);
+            out.pack(e.total);
+            out.pack(e.isWarming);
         }
         out.pack_array(static_cast<std::uint32_t>(b.leaving.size()));
         for (const auto &target : b.leaving) {
@@ -230,7 +232,9 @@
         wire_evidence e;
         e.target = row.value<std::uint64_t>();
         e.score = row.value<float>();
-        e.observations = row.value<std::uint32_t>();
+        e.bad = row.value<float>();
+        e.total = row.value<float>();
+        e.isWarming = row.value<bool>();
         report.evidence.push_back(e);
     }
     array_reader leaving(in.next());
--- a/src/flamingofield/fleet/peer_message.hpp
+++ b/src/flamingofield/fleet/peer_message.hpp
@@ -58,7 +58,9 @@
 {
     std::uint64_t target = 0; ///< Hash of the address.
     float score = 0.0F;
-    std::uint32_t observations = 0;
+    float bad = 0.0F; ///< Decayed counts of the last few seconds.
+    float total = 0.0F;
+    bool isWarming = false;
 };
 
 /// What a member tells the other members of a service.
--- a/src/flamingofield/judge/detector.cpp
+++ b/src/flamingofield/judge/detector.cpp
@@ -10,7 +10,6 @@
 constexpr std::array<double, cusumAlternatives> alternativeBadRates{0.12, 0.35, 0.9};
 constexpr double highestBadRate = 0.97;
 constexpr double leastRatio = 2.0; // An alternative lies at least this far above the healthy rate.
-constexpr double comparisonShare = 0.5; // Of the threshold, that the comparison with the other targets must reach.
 constexpr double secondsPerDay = 86400.0;
 constexpr double leastThreshold = 6.0;
 constexpr double leastObservationsPerDay = 1000.0;
@@ -25,13 +24,7 @@
         return;
     }
     test.score += batch.bad * std::log(sick / healthy) + batch.good * std::log((1.0 - sick) / (1.0 - healthy));
-    test.bad += batch.bad;
-    test.good += batch.good;
-    test.othersBad += batch.othersBad;
-    test.othersGood += batch.othersGood;
-    if (test.score <= 0.0) {
-        test = {};
-    }
+    test.score = std::max(test.score, 0.0);
 }
 
 void observeBatch(sequential_detector &d, const evidence_batch &batch)
@@ -73,20 +66,6 @@
     return *std::max_element(d.tests.begin(), d.tests.end(), [](const auto &a, const auto &b) { return a.score < b.score; });
 }
 
-/// Likelihood ratio of the target's own rate against the rate of the others in the same time.
-double comparisonScore(const cusum &test)
-{
-    const double total = test.bad + test.good;
-    const double othersRate = (test.othersBad + 1.0) / (test.othersBad + test.othersGood + 2.0);
-    const double ownRate = total > 0.0 ? test.bad / total : 0.0;
-    if (ownRate <= othersRate) {
-        return 0.0;
-    }
-    const double badPart = test.bad * std::log(ownRate / othersRate);
-    const double goodPart = test.good > 0.0 ? test.good * std::log((1.0 - ownRate) / (1.0 - othersRate)) : 0.0;
-    return badPart + goodPart;
-}
-
 } // namespace
 
 detector makeDetector(judge_kind kind, int limit)
@@ -124,12 +103,6 @@
     return isConvicted(std::get<percentage_detector>(d)) ? threshold : 0.0;
 }
 
-bool isWorseThanOthers(const detector &d, double threshold)
-{
-    const auto *sequential = std::get_if<sequential_detector>(&d);
-    return sequential == nullptr || comparisonScore(strongest(*sequential)) >= threshold * comparisonShare;
-}
-
 void reset(detector &d)
 {
     if (auto *consecutive = std::get_if<consecutive_detector>(&d)) {
--- a/src/flamingofield/judge/detector.hpp
+++ b/src/flamingofield/judge/detector.hpp
@@ -8,24 +8,18 @@
 
 namespace flamingofield {
 
-/// What a detector needs to know of one batch of observations of a target and of its peers in the service.
+/// One batch of observations of a target.
 struct evidence_batch
 {
     int good = 0;
     int bad = 0;
-    int othersGood = 0; ///< In the same interval, over the service's other targets.
-    int othersBad = 0;
     double healthyBadRate = 0.01; ///< Learned from the service's other targets.
 };
 
-/// Cumulative sum test of one alternative bad rate, with the matching counts since it last stood at zero.
+/// Cumulative sum test of one alternative bad rate.
 struct cusum
 {
     double score = 0.0; ///< Log-likelihood ratio, in nats.
-    double bad = 0.0;
-    double good = 0.0;
-    double othersBad = 0.0;
-    double othersGood = 0.0;
 };
 
 constexpr std::size_t cusumAlternatives = 3;
@@ -64,10 +58,6 @@
 /// @param threshold evidence at which a target is sick
 double evidenceOf(const detector &d, double threshold);
 
-/// True if the target does worse than the service's other targets did in the same time, so that a fault of the whole
-/// service, of a dependency or of this node convicts nobody.
-bool isWorseThanOthers(const detector &d, double threshold);
-
 /// Forgets all evidence.
 void reset(detector &d);
 
--- a/src/flamingofield/judge/service_judge.cpp
+++ b/src/flamingofield/judge/service_judge.cpp
@@ -15,19 +15,28 @@
 constexpr seconds shortHalfLife{2};
 constexpr double priorBadRate = 0.01;
 constexpr double priorWeight = 100.0; // Observations that the prior stands for.
+constexpr double recentPriorWeight = 4.0;
+constexpr double highestBadRate = 0.97;
+constexpr double comparisonShare = 0.5; // Of the evidence, that must stand in comparison with the other targets.
+constexpr double mostPeerTotalRatio = 3.0;
+constexpr double contraryDeviations = 1.65; // One healthy view in twenty is wrongly taken as contrary.
+constexpr double contraryVariance = 0.25;
+constexpr seconds rewarmingPause{60}; // Before peers may call a target warming again.
 constexpr double lowestBadRate = 0.005;
 constexpr double highestHealthyRate = 0.6;
 constexpr seconds peerEvidenceLifetime{3};
 constexpr double peerCapShare = 0.4; // Of the threshold, that one peer may contribute.
+constexpr double peerOffset = 1.0; // Nats that a healthy target reaches all the time somewhere.
 constexpr double leastLocalEvidence = 2.0; // Nats; peers alone eject nothing.
 constexpr double contraryShare = 0.1; // A peer with less evidence than this share of the threshold sees the target well.
-constexpr int contraryObservations = 3;
+constexpr double contraryObservations = 3.0;
 constexpr double selfSuspicionShare = 0.5; // Share of targets sick at once that points at this node.
 constexpr std::size_t selfSuspicionLeast = 3;
 constexpr seconds baseHold{5};
 constexpr int mostDoublings = 6;
 constexpr milliseconds trialInterval{500};
-constexpr int trialsNeeded = 3;
+constexpr int firstTrials = 5;
+constexpr int mostTrialDoublings = 3;
 constexpr seconds rampLength{5};
 constexpr seconds warmingLength{5};
 constexpr double leastRampWeight = 0.1;
@@ -49,11 +58,24 @@
     return std::exp2(-toSeconds(elapsed) / toSeconds(halfLife));
 }
 
+double median(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<long>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 bool takesWork(const judged_target &t)
 {
     return t.isListed && (t.state == target_state::inService || t.state == target_state::ramping || t.state == target_state::warming);
 }
 
+/// A target that failed again after its readmission must pass more trials in a row.
+int trialsNeeded(const judged_target &t)
+{
+    return firstTrials << std::min(t.relapses, mostTrialDoublings);
+}
+
 bool isOut(const judged_target &t)
 {
     return t.state == target_state::ejected || t.state == target_state::trial;
@@ -156,7 +178,7 @@
 void service_judge::noteRestart(judged_target &t, const observation &o)
 {
     t.refusedInRow = o.kind == observed::connectFailed ? t.refusedInRow + 1 : t.refusedInRow;
-    if (o.kind != observed::good || t.refusedInRow == 0) {
+    if (o.kind == observed::connectFailed || t.refusedInRow == 0) {
         return;
     }
     // It took no connections and now answers: a new process that may be slow at first.
@@ -164,6 +186,7 @@
     if (t.state == target_state::inService && m_policy.usesRelative) {
         t.state = target_state::warming;
         t.since = o.at;
+        t.lastWarmedAt = o.at;
         reset(t.test);
     }
 }
@@ -188,7 +211,12 @@
             return p.second.score > 0.0 && now - p.second.heardAt < peerEvidenceLifetime;
         });
         row->goodSinceDoubt = wasDoubted ? row->goodSinceDoubt : 0;
-        row->peers[peer] = {std::max(report.score, 0.0), report.observations, now};
+        row->peers[peer] = {std::max(report.score, 0.0), report.recent, now};
+        if (report.isWarming && row->state == target_state::inService && now - row->lastWarmedAt > rewarmingPause) {
+            row->state = target_state::warming;
+            row->since = now;
+            row->lastWarmedAt = now;
+        }
     }
 }
 
@@ -210,39 +238,101 @@
     setLeaving(target, true, now);
 }
 
-double service_judge::healthyBadRate(std::size_t target) const
+recent_counts service_judge::pooledCounts(const judged_target &t, instant now) const
+{
+    recent_counts pooled{t.recent.bad + t.batchBad, t.recent.total + t.batchBad + t.batchGood};
+    if (!m_policy.usesPeers) {
+        return pooled;
+    }
+    std::vector<recent_counts> told;
+    std::vector<double> totals{pooled.total};
+    for (const auto &[peer, evidence] : t.peers) {
+        if (now - evidence.heardAt < peerEvidenceLifetime) {
+            told.push_back(evidence.recent);
+            totals.push_back(evidence.recent.total);
+        }
+    }
+    // No peer counts for much more than the usual one, whatever it claims to have seen.
+    const double most = std::max(1.0, mostPeerTotalRatio * median(totals));
+    for (const auto &counts : told) {
+        const double factor = counts.total > most ? most / counts.total : 1.0;
+        pooled.bad += factor * std::min(counts.bad, counts.total);
+        pooled.total += factor * counts.total;
+    }
+    return pooled;
+}
+
+double service_judge::othersRecentRate(std::size_t target, instant now) const
 {
     std::vector<double> rates;
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
         if (i != target && takesWork(m_targets[i])) {
-            const auto &t = m_targets[i];
-            rates.push_back((t.longBad + priorBadRate * priorWeight) / (t.longTotal + priorWeight));
+            const recent_counts counts = pooledCounts(m_targets[i], now);
+            rates.push_back((counts.bad + priorBadRate * recentPriorWeight) / (counts.total + recentPriorWeight));
+        }
+    }
+    // The median leaves single sick targets out; a fault of the whole service moves it at once.
+    return rates.empty() ? priorBadRate : median(rates);
+}
+
+double service_judge::healthyBadRate(std::size_t target, instant now) const
+{
+    std::vector<double> lasting;
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        const auto &t = m_targets[i];
+        if (i != target && takesWork(t)) {
+            lasting.push_back((t.longBad + priorBadRate * priorWeight) / (t.longTotal + priorWeight));
         }
     }
-    if (rates.empty()) {
-        return priorBadRate;
+    const double rate = lasting.empty() ? priorBadRate : std::max(median(lasting), othersRecentRate(target, now));
+    return std::clamp(rate, lowestBadRate, highestHealthyRate);
+}
+
+bool service_judge::isWorseThanOthers(std::size_t target, double evidence, instant now) const
+{
+    if (!m_policy.usesRelative) {
+        return true;
     }
-    const auto middle = rates.begin() + static_cast<long>(rates.size() / 2);
-    std::nth_element(rates.begin(), middle, rates.end());
-    return std::clamp(*middle, lowestBadRate, highestHealthyRate);
+    double othersTotal = 0.0;
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        othersTotal += i != target && takesWork(m_targets[i]) ? pooledCounts(m_targets[i], now).total : 0.0;
+    }
+    const recent_counts own = pooledCounts(m_targets[target], now);
+    // Few observations of the others leave room for the same fault there.
+    const double uncertainty = 1.0 / (othersTotal + 2.0);
+    const double others = std::min(othersRecentRate(target, now) + uncertainty, highestBadRate);
+    const double rate = own.total > 0.0 ? std::min(own.bad / own.total, highestBadRate) : 0.0;
+    if (rate <= others) {
+        return false;
+    }
+    const double good = own.total - own.bad;
+    const double score = own.bad * std::log(rate / others) + good * std::log((1.0 - rate) / (1.0 - others));
+    return score >= std::min(evidence, m_threshold) * comparisonShare;
+}
+
+bool service_judge::contradictsPeers(const judged_target &t, instant now) const
+{
+    const recent_counts pooled = pooledCounts(t, now);
+    const double peersBad = pooled.bad - t.recent.bad;
+    const double peersTotal = pooled.total - t.recent.total;
+    if (peersTotal < 1.0) {
+        return false;
+    }
+    const double rate = std::clamp(peersBad / peersTotal, 0.0, 1.0);
+    const double expected = rate * t.recent.total;
+    return expected - t.recent.bad > contraryDeviations * std::sqrt(expected * (1.0 - rate) + contraryVariance);
 }
 
 void service_judge::scoreBatches(instant now)
 {
     const bool wasPaused = m_lastTick != instant() && now - m_lastTick > longestTick;
-    int allGood = 0;
-    int allBad = 0;
     for (auto &t : m_targets) {
-        if (wasPaused) {
-            // Lateness seen across a pause of this process says nothing of the target.
-            t.batchBad = 0;
-        }
-        allGood += t.batchGood;
-        allBad += t.batchBad;
+        // Lateness seen across a pause of this process says nothing of the target.
+        t.batchBad = wasPaused ? 0 : t.batchBad;
     }
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
         judged_target &t = m_targets[i];
-        const evidence_batch batch{t.batchGood, t.batchBad, allGood - t.batchGood, allBad - t.batchBad, healthyBadRate(i)};
+        const evidence_batch batch{t.batchGood, t.batchBad, healthyBadRate(i, now)};
         flamingofield::observe(t.test, batch);
     }
 }
@@ -255,8 +345,8 @@
     for (auto &t : m_targets) {
         t.longBad = t.longBad * longFactor + t.batchBad;
         t.longTotal = t.longTotal * longFactor + t.batchBad + t.batchGood;
-        t.shortBad = t.shortBad * shortFactor + t.batchBad;
-        t.shortTotal = t.shortTotal * shortFactor + t.batchBad + t.batchGood;
+        t.recent.bad = t.recent.bad * shortFactor + t.batchBad;
+        t.recent.total = t.recent.total * shortFactor + t.batchBad + t.batchGood;
         t.batchBad = 0;
         t.batchGood = 0;
     }
@@ -277,20 +367,21 @@
     }
     const double meanLifetime = toSeconds(longHalfLife) / std::log(2.0);
     const double rate = m_targets.empty() ? 0.0 : observations / meanLifetime / static_cast<double>(m_targets.size());
-    m_threshold = evidenceThreshold(m_policy.falseEjectionsPerTargetDay, rate);
+    m_threshold = evidenceThreshold(m_policy.falseEjectionsPerTargetDay, rate * m_memberCount);
 }
 
 double service_judge::combinedEvidence(const judged_target &t, instant now) const
 {
     const double local = evidenceOf(t.test, m_threshold);
-    if (!m_policy.usesPeers || local < leastLocalEvidence) {
+    if (!m_policy.usesPeers || local < leastLocalEvidence || contradictsPeers(t, now)) {
         return local;
     }
     double sum = 0.0;
     double highest = 0.0;
     for (const auto &[peer, evidence] : t.peers) {
         if (now - evidence.heardAt < peerEvidenceLifetime) {
-            const double capped = std::min(evidence.score, m_threshold * peerCapShare);
+            const double counted = std::max(0.0, evidence.score - peerOffset);
+            const double capped = std::min(counted, m_threshold * peerCapShare);
             sum += capped;
             highest = std::max(highest, capped);
         }
@@ -323,7 +414,7 @@
             continue;
         }
         const bool seesItWell = evidence.score < m_threshold * contraryShare;
-        contrary += seesItWell && evidence.observations >= contraryObservations ? 1 : 0;
+        contrary += seesItWell && evidence.recent.total >= contraryObservations ? 1 : 0;
         agreeing += seesItWell ? 0 : 1;
     }
     return m_policy.usesPeers && contrary > 0 && agreeing == 0;
@@ -365,7 +456,7 @@
         row.evidence = combinedEvidence(t, now);
         row.isEjected = isOut(t);
         row.isAbsent = !t.isListed || t.state == target_state::leaving || t.state == target_state::warming;
-        const bool isConvicted = row.evidence >= m_threshold && (!m_policy.usesRelative || isWorseThanOthers(t.test, m_threshold));
+        const bool isConvicted = row.evidence >= m_threshold && isWorseThanOthers(rows.size(), row.evidence, now);
         const bool isAdoptable = !isConvicted && isAdopted(t, now);
         row.evidence = isAdoptable ? m_threshold : row.evidence;
         row.isSick = takesWork(t) && !t.isReduced && (isConvicted || isAdoptable);
@@ -419,7 +510,7 @@
             t.since = now;
             reset(t.test);
             events.push_back({judge_event::kind::trialStarted, t.address, 0.0});
-        } else if (t.state == target_state::trial && t.trialsPassed >= trialsNeeded) {
+        } else if (t.state == target_state::trial && t.trialsPassed >= trialsNeeded(t)) {
             t.state = target_state::ramping;
             t.relapses = std::max(t.relapses, 1);
             t.since = now;
@@ -471,20 +562,30 @@
     return true;
 }
 
-std::vector<evidence_report> service_judge::reports() const
+bool service_judge::isInDoubt(instant now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const judged_target &t) {
+        const bool isDoubtedHere = evidenceOf(t.test, m_threshold) >= m_threshold * reportShare;
+        const bool isDoubtedByPeer = std::any_of(t.peers.begin(), t.peers.end(), [&](const auto &p) {
+            return now - p.second.heardAt < peerEvidenceLifetime && p.second.score >= m_threshold * reportShare;
+        });
+        const bool isNew = now - t.since < peerEvidenceLifetime;
+        return t.isListed && (isOut(t) ? isNew : isDoubtedHere || isDoubtedByPeer);
+    });
+}
+
+std::vector<evidence_report> service_judge::reports(instant now) const
 {
     std::vector<evidence_report> reports;
+    const bool isAnyOut = std::any_of(m_targets.begin(), m_targets.end(), [](const auto &t) { return isOut(t); });
+    if (!isAnyOut && !isInDoubt(now)) {
+        return reports;
+    }
     for (const auto &t : m_targets) {
         // An adopted ejection is not told on, so that nodes do not convict on each other's echo.
         const bool isOwnVerdict = isOut(t) && !t.isPathBlamed && !t.isAdopted;
-        const double score = isOwnVerdict ? m_threshold : evidenceOf(t.test, m_threshold);
-        bool isPeerSuspicious = false;
-        for (const auto &[peer, evidence] : t.peers) {
-            isPeerSuspicious = isPeerSuspicious || evidence.score >= m_threshold * reportShare;
-        }
-        if (score >= m_threshold * reportShare || (isPeerSuspicious && t.shortTotal >= 1.0)) {
-            reports.push_back({t.address, t.isPathBlamed ? 0.0 : score, static_cast<int>(t.shortTotal)});
-        }
+        const double score = isOwnVerdict ? m_threshold : t.isPathBlamed ? 0.0 : evidenceOf(t.test, m_threshold);
+        reports.push_back({t.address, score, t.recent, t.state == target_state::warming && t.lastWarmedAt == t.since});
     }
     return reports;
 }
--- a/src/flamingofield/judge/service_judge.hpp
+++ b/src/flamingofield/judge/service_judge.hpp
@@ -16,11 +16,18 @@
 /// Name of a state for logs and status.
 const char *toString(target_state state);
 
+/// Decayed counts of the last few seconds.
+struct recent_counts
+{
+    double bad = 0.0;
+    double total = 0.0;
+};
+
 /// A peer's evidence about a target.
 struct peer_evidence
 {
     double score = 0.0; ///< Nats, as from evidenceOf.
-    int observations = 0; ///< In the last few seconds.
+    recent_counts recent;
     instant heardAt;
 };
 
@@ -35,8 +42,7 @@
     latency_estimate latency;
     double longBad = 0.0; ///< Decayed counts from which the healthy rate is learned.
     double longTotal = 0.0;
-    double shortBad = 0.0;
-    double shortTotal = 0.0;
+    recent_counts recent;
     int batchGood = 0; ///< Since the last tick.
     int batchBad = 0;
     std::uint64_t lastBadSource = 0;
@@ -47,6 +53,7 @@
     int trialsPassed = 0;
     int goodSinceDoubt = 0; ///< Good observations of this node since a peer first doubted the target.
     int refusedInRow = 0; ///< Connections refused in a row, as by a target that restarts.
+    instant lastWarmedAt; ///< Start of the last warming after a restart.
     instant toldLeavingUntil; ///< Another than the target itself says that it leaves.
     bool isReduced = false; ///< Sick, but kept at a reduced weight for the floor.
     bool isAdopted = false; ///< Ejected because most members did, without evidence of this node.
@@ -93,7 +100,8 @@
 {
     std::string target;
     double score = 0.0;
-    int observations = 0;
+    recent_counts recent;
+    bool isWarming = false;
 };
 
 /// Judges the targets of one service. A plain table with systems that run over it; not thread-safe, reads no clock.
@@ -137,8 +145,11 @@
     /// True if a trial request should be let through now; it is then counted as sent.
     bool takeTrial(std::size_t target, instant now);
 
-    /// Evidence worth telling the other members.
-    std::vector<evidence_report> reports() const;
+    /// Evidence worth telling the other members: all targets while any is doubted here or by a peer, else none.
+    std::vector<evidence_report> reports(instant now) const;
+
+    /// True while a target that takes work is doubted, so that the other members should hear often.
+    bool isInDoubt(instant now) const;
 
     /// Age after which a request is late.
     duration lateLimit() const
@@ -164,7 +175,11 @@
     void observeTrial(judged_target &t, const observation &o);
     void scoreBatches(instant now);
     void learnRates(instant now);
-    double healthyBadRate(std::size_t target) const;
+    double healthyBadRate(std::size_t target, instant now) const;
+    recent_counts pooledCounts(const judged_target &t, instant now) const;
+    double othersRecentRate(std::size_t target, instant now) const;
+    bool isWorseThanOthers(std::size_t target, double evidence, instant now) const;
+    bool contradictsPeers(const judged_target &t, instant now) const;
     double combinedEvidence(const judged_target &t, instant now) const;
     int convictingPeers(const judged_target &t, instant now) const;
     bool isAdopted(const judged_target &t, instant now) const;
