Let peers' evidence convict only where a majority of witnesses bears it out

Cause: a member without an own bad observation waited for one of its callers' requests to fail, which set the worst detection time (2.40 s at 20 requests/s); and a target that fails 30% passed 5 trials in a row in 17% of attempts at each of 7 members, so that it was soon back somewhere. Change: peers' evidence counts, with or without own evidence, when more than half of the nodes that lately saw the target support it and the own view does not contradict; the strongest peer is still left out. Trials: 8 in a row, 300 ms apart. Ruled out: adoption of verdicts alone (before this commit), which waits until most members have convicted.

--- a/src/flamingofield/judge/service_judge.cpp
+++ b/src/flamingofield/judge/service_judge.cpp
@@ -27,15 +27,15 @@
 constexpr seconds peerEvidenceLifetime{3};
 constexpr double peerCapShare = 0.4; // Of the threshold, that one peer may contribute.
 constexpr double peerOffset = 1.0; // Nats that a healthy target reaches all the time somewhere.
-constexpr double leastLocalEvidence = 2.0; // Nats; peers alone eject nothing.
+constexpr double leastEvidence = 2.0; // Nats, about one bad observation.
 constexpr double contraryShare = 0.1; // A peer with less evidence than this share of the threshold sees the target well.
 constexpr double contraryObservations = 3.0;
 constexpr double selfSuspicionShare = 0.5; // Share of targets sick at once that points at this node.
 constexpr std::size_t selfSuspicionLeast = 3;
 constexpr seconds baseHold{5};
 constexpr int mostDoublings = 6;
-constexpr milliseconds trialInterval{500};
-constexpr int firstTrials = 5;
+constexpr milliseconds trialInterval{300};
+constexpr int firstTrials = 8;
 constexpr int mostTrialDoublings = 3;
 constexpr seconds rampLength{5};
 constexpr seconds warmingLength{5};
@@ -44,7 +44,7 @@
 constexpr seconds relapseMemory{600};
 constexpr milliseconds longestTick{500}; // A longer gap means that this process was paused.
 constexpr double reportShare = 0.1;
-constexpr int leastAdoptedFrom = 2;
+constexpr int leastSupporters = 3;
 constexpr seconds toldLeavingLifetime{10};
 
 double rampWeight(duration age, duration length)
@@ -169,7 +169,6 @@
     const bool isSlowStart = t.state == target_state::warming && (o.kind == observed::good || o.kind == observed::lateSoFar);
     if (!isBad(o) || isSlowStart) {
         ++t.batchGood;
-        ++t.goodSinceDoubt;
     } else if (countsAgain(t, o)) {
         ++t.batchBad;
     }
@@ -184,13 +183,18 @@
     // It took no connections and now answers: a new process that may be slow at first.
     t.refusedInRow = 0;
     if (t.state == target_state::inService && m_policy.usesRelative) {
-        t.state = target_state::warming;
-        t.since = o.at;
-        t.lastWarmedAt = o.at;
-        reset(t.test);
+        beginWarming(t, o.at);
     }
 }
 
+void service_judge::beginWarming(judged_target &t, instant now)
+{
+    t.state = target_state::warming;
+    t.since = now;
+    t.lastWarmedAt = now;
+    reset(t.test);
+}
+
 void service_judge::observeTrial(judged_target &t, const observation &o)
 {
     if (isBad(o)) {
@@ -207,15 +211,9 @@
 {
     const auto row = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto &t) { return t.address == report.target; });
     if (row != m_targets.end() && std::isfinite(report.score)) {
-        const bool wasDoubted = std::any_of(row->peers.begin(), row->peers.end(), [&](const auto &p) {
-            return p.second.score > 0.0 && now - p.second.heardAt < peerEvidenceLifetime;
-        });
-        row->goodSinceDoubt = wasDoubted ? row->goodSinceDoubt : 0;
         row->peers[peer] = {std::max(report.score, 0.0), report.recent, now};
         if (report.isWarming && row->state == target_state::inService && now - row->lastWarmedAt > rewarmingPause) {
-            row->state = target_state::warming;
-            row->since = now;
-            row->lastWarmedAt = now;
+            beginWarming(*row, now);
         }
     }
 }
@@ -370,12 +368,8 @@
     m_threshold = evidenceThreshold(m_policy.falseEjectionsPerTargetDay, rate * m_memberCount);
 }
 
-double service_judge::combinedEvidence(const judged_target &t, instant now) const
+double service_judge::peersEvidence(const judged_target &t, instant now) const
 {
-    const double local = evidenceOf(t.test, m_threshold);
-    if (!m_policy.usesPeers || local < leastLocalEvidence || contradictsPeers(t, now)) {
-        return local;
-    }
     double sum = 0.0;
     double highest = 0.0;
     for (const auto &[peer, evidence] : t.peers) {
@@ -387,22 +381,29 @@
         }
     }
     // The strongest peer is left out, so that one peer that errs or lies adds nothing.
-    return local + sum - highest;
+    return sum - highest;
 }
 
-int service_judge::convictingPeers(const judged_target &t, instant now) const
+bool service_judge::isBorneOutByMajority(const judged_target &t, instant now) const
 {
-    int convicting = 0;
+    int supporters = evidenceOf(t.test, m_threshold) >= leastEvidence ? 1 : 0;
+    int witnesses = t.recent.total >= 1.0 || supporters > 0 ? 1 : 0;
     for (const auto &[peer, evidence] : t.peers) {
-        convicting += now - evidence.heardAt < peerEvidenceLifetime && evidence.score >= m_threshold ? 1 : 0;
+        if (now - evidence.heardAt < peerEvidenceLifetime) {
+            const bool isSupporter = evidence.score >= leastEvidence;
+            supporters += isSupporter ? 1 : 0;
+            witnesses += isSupporter || evidence.recent.total >= 1.0 ? 1 : 0;
+        }
     }
-    return convicting;
+    return supporters >= leastSupporters && 2 * supporters > witnesses;
 }
 
-bool service_judge::isAdopted(const judged_target &t, instant now) const
+double service_judge::combinedEvidence(const judged_target &t, instant now) const
 {
-    const int needed = std::max(leastAdoptedFrom, (m_memberCount + 1) / 2);
-    return m_policy.usesPeers && t.goodSinceDoubt == 0 && convictingPeers(t, now) >= needed;
+    const double local = evidenceOf(t.test, m_threshold);
+    // Where only some nodes see a target as sick, their paths may be at fault, and each judges for itself.
+    const bool usesPeers = m_policy.usesPeers && isBorneOutByMajority(t, now) && !contradictsPeers(t, now);
+    return usesPeers ? local + peersEvidence(t, now) : local;
 }
 
 bool service_judge::isDeniedByPeers(const judged_target &t, instant now) const
@@ -457,10 +458,8 @@
         row.isEjected = isOut(t);
         row.isAbsent = !t.isListed || t.state == target_state::leaving || t.state == target_state::warming;
         const bool isConvicted = row.evidence >= m_threshold && isWorseThanOthers(rows.size(), row.evidence, now);
-        const bool isAdoptable = !isConvicted && isAdopted(t, now);
-        row.evidence = isAdoptable ? m_threshold : row.evidence;
-        row.isSick = takesWork(t) && !t.isReduced && (isConvicted || isAdoptable);
-        adopted.push_back(isAdoptable);
+        row.isSick = takesWork(t) && !t.isReduced && isConvicted;
+        adopted.push_back(evidenceOf(t.test, m_threshold) < leastEvidence);
         rows.push_back(row);
     }
     const bool isSelfSuspected = suspectsItself(now);
@@ -501,7 +500,7 @@
 void service_judge::advanceStates(instant now, std::vector<judge_event> &events)
 {
     for (auto &t : m_targets) {
-        if (t.isReduced && takesWork(t) && evidenceOf(t.test, m_threshold) < leastLocalEvidence && now - t.since > baseHold) {
+        if (t.isReduced && takesWork(t) && evidenceOf(t.test, m_threshold) < leastEvidence && now - t.since > baseHold) {
             t.isReduced = false;
         }
         if (t.state == target_state::ejected && now >= t.holdUntil) {
--- a/src/flamingofield/judge/service_judge.hpp
+++ b/src/flamingofield/judge/service_judge.hpp
@@ -51,7 +51,6 @@
     instant holdUntil;
     instant trialSentAt;
     int trialsPassed = 0;
-    int goodSinceDoubt = 0; ///< Good observations of this node since a peer first doubted the target.
     int refusedInRow = 0; ///< Connections refused in a row, as by a target that restarts.
     instant lastWarmedAt; ///< Start of the last warming after a restart.
     instant toldLeavingUntil; ///< Another than the target itself says that it leaves.
@@ -172,6 +171,7 @@
     bool isBad(const observation &o) const;
     bool countsAgain(judged_target &t, const observation &o) const;
     void noteRestart(judged_target &t, const observation &o);
+    static void beginWarming(judged_target &t, instant now);
     void observeTrial(judged_target &t, const observation &o);
     void scoreBatches(instant now);
     void learnRates(instant now);
@@ -181,8 +181,8 @@
     bool isWorseThanOthers(std::size_t target, double evidence, instant now) const;
     bool contradictsPeers(const judged_target &t, instant now) const;
     double combinedEvidence(const judged_target &t, instant now) const;
-    int convictingPeers(const judged_target &t, instant now) const;
-    bool isAdopted(const judged_target &t, instant now) const;
+    double peersEvidence(const judged_target &t, instant now) const;
+    bool isBorneOutByMajority(const judged_target &t, instant now) const;
     bool isDeniedByPeers(const judged_target &t, instant now) const;
     bool suspectsItself(instant now) const;
     void decide(instant now, std::vector<judge_event> &events);
