Tell on only own evidence; ask six in ten witnesses to bear an ejection out

Change: an ejected target is reported with the own evidence only; 0.58 of the witnesses must support; the comparison uses the upper quartile of the other targets. The model now delivers reports at the next tick, as the link does.

--- a/bench/judge_model.cpp
+++ b/bench/judge_model.cpp
@@ -91,6 +91,7 @@
         for (instant now = m_start; now < m_end; now += tickLength, ++tick) {
             sendRequests(now);
             deliver(now + tickLength);
+            deliverReports(now + tickLength);
             runJudges(now + tickLength);
             if (tick % (reportLength / tickLength) == 0) {
                 sendReports(now + tickLength);
@@ -324,7 +325,7 @@
         return static_cast<std::size_t>(found - targets.begin());
     }
 
-    void sendReports(instant now)
+    void deliverReports(instant now)
     {
         for (auto &report : m_reports) {
             for (std::size_t member = 0; member < m_judges.size(); ++member) {
@@ -337,6 +338,10 @@
             }
         }
         m_reports.clear();
+    }
+
+    void sendReports(instant now)
+    {
         for (std::size_t member = 0; member < m_judges.size(); ++member) {
             if (isPaused(member, now)) {
                 continue;
--- a/src/flamingofield/judge/service_judge.cpp
+++ b/src/flamingofield/judge/service_judge.cpp
@@ -27,7 +27,7 @@
 constexpr seconds peerEvidenceLifetime{3};
 constexpr double peerCapShare = 0.4; // Of the threshold, that one peer may contribute.
 constexpr double peerOffset = 1.0; // Nats that a healthy target reaches all the time somewhere.
-constexpr double leastEvidence = 2.0; // Nats, about one bad observation.
+constexpr double leastEvidence = 2.5; // Nats, about one bad observation that no good ones followed.
 constexpr double contraryShare = 0.1; // A peer with less evidence than this share of the threshold sees the target well.
 constexpr double contraryObservations = 3.0;
 constexpr double selfSuspicionShare = 0.5; // Share of targets sick at once that points at this node.
@@ -45,6 +45,7 @@
 constexpr milliseconds longestTick{500}; // A longer gap means that this process was paused.
 constexpr double reportShare = 0.1;
 constexpr int leastSupporters = 3;
+constexpr double supporterShare = 0.58; // Of the witnesses; above what one data centre of three and a chance failure make.
 constexpr seconds toldLeavingLifetime{10};
 
 double rampWeight(duration age, duration length)
@@ -76,6 +77,12 @@
     return firstTrials << std::min(t.relapses, mostTrialDoublings);
 }
 
+/// Only a peer that lately sent work to the target, or has evidence against it, can tell how it is.
+bool isWitness(const peer_evidence &evidence, instant now)
+{
+    return now - evidence.heardAt < peerEvidenceLifetime && (evidence.recent.total >= 1.0 || evidence.score >= leastEvidence);
+}
+
 bool isOut(const judged_target &t)
 {
     return t.state == target_state::ejected || t.state == target_state::trial;
@@ -269,8 +276,13 @@
             rates.push_back((counts.bad + priorBadRate * recentPriorWeight) / (counts.total + recentPriorWeight));
         }
     }
-    // The median leaves single sick targets out; a fault of the whole service moves it at once.
-    return rates.empty() ? priorBadRate : median(rates);
+    if (rates.empty()) {
+        return priorBadRate;
+    }
+    // The upper quartile leaves single sick targets out; a fault of the whole service moves it at once.
+    const auto place = rates.begin() + static_cast<long>(rates.size() - 1 - rates.size() / 4);
+    std::nth_element(rates.begin(), place, rates.end());
+    return *place;
 }
 
 double service_judge::healthyBadRate(std::size_t target, instant now) const
@@ -373,7 +385,7 @@
     double sum = 0.0;
     double highest = 0.0;
     for (const auto &[peer, evidence] : t.peers) {
-        if (now - evidence.heardAt < peerEvidenceLifetime) {
+        if (isWitness(evidence, now)) {
             const double counted = std::max(0.0, evidence.score - peerOffset);
             const double capped = std::min(counted, m_threshold * peerCapShare);
             sum += capped;
@@ -384,25 +396,24 @@
     return sum - highest;
 }
 
-bool service_judge::isBorneOutByMajority(const judged_target &t, instant now) const
+bool service_judge::isBorneOutByMost(const judged_target &t, instant now) const
 {
     int supporters = evidenceOf(t.test, m_threshold) >= leastEvidence ? 1 : 0;
     int witnesses = t.recent.total >= 1.0 || supporters > 0 ? 1 : 0;
     for (const auto &[peer, evidence] : t.peers) {
-        if (now - evidence.heardAt < peerEvidenceLifetime) {
-            const bool isSupporter = evidence.score >= leastEvidence;
-            supporters += isSupporter ? 1 : 0;
-            witnesses += isSupporter || evidence.recent.total >= 1.0 ? 1 : 0;
+        if (isWitness(evidence, now)) {
+            supporters += evidence.score >= leastEvidence ? 1 : 0;
+            ++witnesses;
         }
     }
-    return supporters >= leastSupporters && 2 * supporters > witnesses;
+    return supporters >= leastSupporters && supporters > supporterShare * witnesses;
 }
 
 double service_judge::combinedEvidence(const judged_target &t, instant now) const
 {
     const double local = evidenceOf(t.test, m_threshold);
     // Where only some nodes see a target as sick, their paths may be at fault, and each judges for itself.
-    const bool usesPeers = m_policy.usesPeers && isBorneOutByMajority(t, now) && !contradictsPeers(t, now);
+    const bool usesPeers = m_policy.usesPeers && isBorneOutByMost(t, now) && !contradictsPeers(t, now);
     return usesPeers ? local + peersEvidence(t, now) : local;
 }
 
@@ -477,6 +488,7 @@
         case floor_decision::eject:
             t.isPathBlamed = isDeniedByPeers(t, now);
             t.isAdopted = adopted[i];
+            t.ownEvidence = evidenceOf(t.test, m_threshold);
             eject(t, now);
             events.push_back({t.isPathBlamed ? judge_event::kind::pathBlamed : judge_event::kind::ejected, t.address, rows[i].evidence});
             break;
@@ -581,9 +593,9 @@
         return reports;
     }
     for (const auto &t : m_targets) {
-        // An adopted ejection is not told on, so that nodes do not convict on each other's echo.
+        // Only what this node saw itself is told on, so that nodes do not convict on each other's echo.
         const bool isOwnVerdict = isOut(t) && !t.isPathBlamed && !t.isAdopted;
-        const double score = isOwnVerdict ? m_threshold : t.isPathBlamed ? 0.0 : evidenceOf(t.test, m_threshold);
+        const double score = isOwnVerdict ? t.ownEvidence : isOut(t) ? 0.0 : evidenceOf(t.test, m_threshold);
         reports.push_back({t.address, score, t.recent, t.state == target_state::warming && t.lastWarmedAt == t.since});
     }
     return reports;
--- a/src/flamingofield/judge/service_judge.hpp
+++ b/src/flamingofield/judge/service_judge.hpp
@@ -55,6 +55,7 @@
     instant lastWarmedAt; ///< Start of the last warming after a restart.
     instant toldLeavingUntil; ///< Another than the target itself says that it leaves.
     bool isReduced = false; ///< Sick, but kept at a reduced weight for the floor.
+    double ownEvidence = 0.0; ///< Of this node alone when it ejected the target.
     bool isAdopted = false; ///< Ejected because most members did, without evidence of this node.
     bool isPathBlamed = false; ///< Ejected here although peers see it well.
     bool isListed = true; ///< Still in the operator's text.
@@ -182,7 +183,7 @@
     bool contradictsPeers(const judged_target &t, instant now) const;
     double combinedEvidence(const judged_target &t, instant now) const;
     double peersEvidence(const judged_target &t, instant now) const;
-    bool isBorneOutByMajority(const judged_target &t, instant now) const;
+    bool isBorneOutByMost(const judged_target &t, instant now) const;
     bool isDeniedByPeers(const judged_target &t, instant now) const;
     bool suspectsItself(instant now) const;
     void decide(instant now, std::vector<judge_event> &events);
