--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -16,6 +16,7 @@
 {
     static const std::map<std::string, std::function<bench::suite_result(const bench::bench_arguments &)>> all{
         {"path", bench::measurePath},
+        {"flood", bench::measureFlood},
         {"judge", bench::measureJudge},
         {"once", bench::measureOnce},
     };
--- a/bench/suites.hpp
+++ b/bench/suites.hpp
@@ -28,4 +28,7 @@
 /// Detection time and false ejections of the policies under each fault, from seeded runs of the decision functions.
 suite_result measureJudge(const bench_arguments &arguments);
 
+/// Service by rank under floods, from seeded runs of the admission functions.
+suite_result measureFlood(const bench_arguments &arguments);
+
 } // namespace bench
