Split slots by the demand of each rank; rest a target that sheds

Change: members tell their demand by rank; each rank's slots over the fleet (guaranteed share first, then urgency) go to members in proportion to their demand of that rank, and a member's queue uses the shares that follow. A target that shed gets nothing for 15 ms, doubling to 240 ms.

--- a/src/flamingofield/admit/rank_queue.hpp
+++ b/src/flamingofield/admit/rank_queue.hpp
@@ -43,6 +43,12 @@
 public:
     explicit rank_queue(rank_queue_limits limits);
 
+    /// Replaces the guaranteed shares, as the demand of the other members changes.
+    void setShares(std::vector<double> shares)
+    {
+        m_limits.guaranteedShares = std::move(shares);
+    }
+
     /// Adds a waiter, or displaces one of a caller that holds more places in the same rank.
     offer_result offer(const waiter &candidate);
 
--- a/src/flamingofield/admit/service_gate.cpp
+++ b/src/flamingofield/admit/service_gate.cpp
@@ -21,6 +21,7 @@
     : m_limits(std::move(limits))
     , m_queue(m_limits)
     , m_retries(retryRatio)
+    , m_useByRank(m_limits.guaranteedShares.size(), 0)
 {
 }
 
@@ -35,7 +36,10 @@
         return slot_refusal{refusal_reason::noTarget};
     }
     if (m_queue.isIdle()) {
-        if (const auto target = m_ledger.pick(request.pick)) {
+        pick_request pick = request.pick;
+        pick.now = now;
+        if (const auto target = m_ledger.pick(pick)) {
+            ++m_useByRank[static_cast<std::size_t>(request.rank)];
             m_queue.countGrant(request.rank, request.caller, now);
             return slot_grant{*target};
         }
@@ -84,7 +88,7 @@
     }
     while (!m_queue.isIdle()) {
         // A slot is taken first, so that a waiter leaves its queue only when it can go on.
-        const auto target = m_ledger.pick({});
+        const auto target = m_ledger.pick({false, 0, m_nextId, now});
         if (!target) {
             return;
         }
@@ -94,17 +98,28 @@
         const bool wasTried = *target < 64 && ((excluded >> *target) & 1U) != 0;
         found->second->answer = wasTried ? slot_result(slot_refusal{refusal_reason::noTarget}) : slot_result(slot_grant{*target});
         if (wasTried) {
-            m_ledger.release(*target, false, false);
+            m_ledger.release(*target, false, false, now);
+        } else {
+            ++m_useByRank[static_cast<std::size_t>(next->rank)];
         }
         found->second->wake.notify_one();
     }
 }
 
-void service_gate::release(std::size_t target, bool succeeded, bool shed)
+void service_gate::release(std::size_t target, int rank, bool succeeded, bool shed)
 {
     const std::lock_guard lock(m_mutex);
-    m_ledger.release(target, succeeded, shed);
-    dispatch(std::chrono::steady_clock::now());
+    const instant now = std::chrono::steady_clock::now();
+    m_ledger.release(target, succeeded, shed, now);
+    --m_useByRank[static_cast<std::size_t>(rank)];
+    dispatch(now);
+}
+
+void service_gate::addUse(std::size_t target, int rank)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_ledger.at(target).inUse;
+    ++m_useByRank[static_cast<std::size_t>(rank)];
 }
 
 void service_gate::update(const std::function<void(slot_ledger &)> &change)
@@ -131,16 +146,26 @@
     return m_addresses;
 }
 
+void service_gate::setShares(std::vector<double> shares)
+{
+    const std::lock_guard lock(m_mutex);
+    m_queue.setShares(std::move(shares));
+}
+
 void service_gate::setServiceTime(duration serviceTime)
 {
     const std::lock_guard lock(m_mutex);
     m_serviceTime = serviceTime;
 }
 
-double service_gate::demand() const
+std::vector<double> service_gate::demand() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_ledger.inUse() + static_cast<double>(m_queue.size());
+    std::vector<double> byRank;
+    for (std::size_t rank = 0; rank < m_useByRank.size(); ++rank) {
+        byRank.push_back(m_useByRank[rank] + static_cast<double>(m_queue.sizeOf(static_cast<int>(rank))));
+    }
+    return byRank;
 }
 
 std::size_t service_gate::waiting(int rank) const
--- a/src/flamingofield/admit/service_gate.hpp
+++ b/src/flamingofield/admit/service_gate.hpp
@@ -53,7 +53,11 @@
     slot_result acquire(const slot_request &request);
 
     /// Gives a slot back.
-    void release(std::size_t target, bool succeeded, bool shed);
+    /// @param rank of the request that held it
+    void release(std::size_t target, int rank, bool succeeded, bool shed);
+
+    /// Counts one more slot in use, for a second attempt that did not ask for it.
+    void addUse(std::size_t target, int rank);
 
     /// Runs a change of the ledger under the lock and wakes waiters that may go on.
     void update(const std::function<void(slot_ledger &)> &change);
@@ -69,11 +73,14 @@
         return m_limits;
     }
 
+    /// Replaces the guaranteed shares of the ranks at this node.
+    void setShares(std::vector<double> shares);
+
     /// Sets the time that a request usually needs once it has a slot.
     void setServiceTime(duration serviceTime);
 
-    /// Slots in use and requests waiting.
-    double demand() const;
+    /// Slots in use and requests waiting, by rank.
+    std::vector<double> demand() const;
 
     std::size_t waiting(int rank) const;
 
@@ -96,6 +103,7 @@
     rank_queue m_queue;
     slot_ledger m_ledger;
     retry_budget m_retries;
+    std::vector<int> m_useByRank;
     duration m_serviceTime = milliseconds(5);
     std::uint64_t m_nextId = 1;
     std::unordered_map<std::uint64_t, parked *> m_parked;
--- a/src/flamingofield/admit/slot_ledger.cpp
+++ b/src/flamingofield/admit/slot_ledger.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+constexpr milliseconds firstRest{15};
+constexpr int mostRestDoublings = 4;
+
 bool isExcluded(const pick_request &request, std::size_t target)
 {
     return target < 64 && ((request.excluded >> target) & 1U) != 0;
@@ -17,9 +20,9 @@
     return t.weight <= 0.0 ? 0 : std::max(1, static_cast<int>(std::floor(t.window.allowed() * std::min(t.weight, 1.0))));
 }
 
-bool hasFreeSlot(const target_slots &t)
+bool hasFreeSlot(const target_slots &t, instant now)
 {
-    return t.window.ceiling > 0 && t.inUse < weightedLimit(t);
+    return t.window.ceiling > 0 && now >= t.restsUntil && t.inUse < weightedLimit(t);
 }
 
 } // namespace
@@ -49,7 +52,7 @@
             break;
         }
         const double load = t.weight > 0.0 ? (t.inUse + 1) / (t.weight * t.window.allowed()) : 0.0;
-        if (hasFreeSlot(t) && (!best || load < bestLoad)) {
+        if (hasFreeSlot(t, request.now) && (!best || load < bestLoad)) {
             best = i;
             bestLoad = load;
         }
@@ -60,13 +63,16 @@
     return best;
 }
 
-void slot_ledger::release(std::size_t target, bool succeeded, bool shed)
+void slot_ledger::release(std::size_t target, bool succeeded, bool shed, instant now)
 {
     target_slots &t = m_targets[target];
     const bool wasFull = t.inUse >= t.window.allowed();
     --t.inUse;
+    t.shedsInRow = succeeded ? 0 : t.shedsInRow;
     if (shed) {
         t.window.decrease();
+        t.restsUntil = now + firstRest * (1 << std::min(t.shedsInRow, mostRestDoublings));
+        ++t.shedsInRow;
     } else if (succeeded && wasFull) {
         t.window.increase();
     }
--- a/src/flamingofield/admit/slot_ledger.hpp
+++ b/src/flamingofield/admit/slot_ledger.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admit/slot_window.hpp"
+#include "core/time.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -14,6 +15,7 @@
     bool mayTry = false; ///< Idempotent and not urgent, so it may be the trial of an ejected target.
     std::uint64_t excluded = 0; ///< Bit per target that this request has already tried; targets above 63 are not excluded.
     std::uint64_t seed = 0; ///< Breaks ties.
+    instant now;
 };
 
 /// Slots of one target as seen by this node.
@@ -22,6 +24,8 @@
     slot_window window;
     int inUse = 0;
     double weight = 1.0; ///< Share of work relative to a healthy target; 0 takes no work.
+    int shedsInRow = 0;
+    instant restsUntil; ///< After a shed answer nothing is sent for a while.
     bool trialDue = false; ///< Ejected, and one trial request may be sent.
 };
 
@@ -44,7 +48,7 @@
     /// Ends a request.
     /// @param shed true if the target refused the request for load
     /// @param succeeded true if it ended well
-    void release(std::size_t target, bool succeeded, bool shed);
+    void release(std::size_t target, bool succeeded, bool shed, instant now);
 
     /// True if any target takes work at all.
     bool hasEligible() const;
--- a/src/flamingofield/admit/slot_quota.cpp
+++ b/src/flamingofield/admit/slot_quota.cpp
@@ -9,22 +9,40 @@
 namespace {
 
 constexpr double borrowBelowRatio = 0.7;
-constexpr double leastDemand = 0.25; // Slots; keeps a share for a member that is idle for a moment.
+constexpr double leastClaim = 0.25; // Slots; keeps a share for a member that is idle for a moment.
 
-std::vector<int> apportion(int total, const std::vector<member_demand> &members)
+/// Slots due by [member][rank].
+std::vector<std::vector<double>> dueSlots(double slots, const std::vector<member_demand> &members,
+                                          const std::vector<double> &guaranteedShares)
 {
-    const int count = static_cast<int>(members.size());
-    const int base = total >= count ? 1 : 0;
-    const int rest = total - base * count;
-    double sum = 0.0;
+    const std::size_t ranks = guaranteedShares.size();
+    std::vector<double> byRank(ranks, 0.0);
     for (const auto &m : members) {
-        sum += std::max(m.demand, leastDemand);
+        for (std::size_t rank = 0; rank < std::min(ranks, m.byRank.size()); ++rank) {
+            byRank[rank] += m.byRank[rank];
+        }
     }
-    std::vector<int> shares(members.size(), base);
+    const std::vector<double> granted = splitByRank(slots, byRank, guaranteedShares);
+    std::vector<std::vector<double>> due(members.size(), std::vector<double>(ranks, 0.0));
+    for (std::size_t m = 0; m < members.size(); ++m) {
+        for (std::size_t rank = 0; rank < std::min(ranks, members[m].byRank.size()); ++rank) {
+            due[m][rank] = byRank[rank] > 0.0 ? granted[rank] * members[m].byRank[rank] / byRank[rank] : 0.0;
+        }
+    }
+    return due;
+}
+
+std::vector<int> apportion(int total, const std::vector<double> &claimed)
+{
+    const int count = static_cast<int>(claimed.size());
+    const int base = total >= count ? 1 : 0;
+    const int rest = total - base * count;
+    const double sum = std::accumulate(claimed.begin(), claimed.end(), 0.0);
+    std::vector<int> shares(claimed.size(), base);
     std::vector<std::pair<double, std::size_t>> remainders;
     int given = 0;
-    for (std::size_t i = 0; i < members.size(); ++i) {
-        const double exact = rest * std::max(members[i].demand, leastDemand) / sum;
+    for (std::size_t i = 0; i < claimed.size(); ++i) {
+        const double exact = rest * claimed[i] / sum;
         const int whole = static_cast<int>(exact);
         shares[i] += whole;
         given += whole;
@@ -39,13 +57,34 @@
 
 } // namespace
 
-std::vector<std::vector<int>> splitSlots(const service_spec &service, const std::vector<member_demand> &members)
+std::vector<double> splitByRank(double slots, const std::vector<double> &demandByRank, const std::vector<double> &guaranteedShares)
+{
+    std::vector<double> granted;
+    double left = slots;
+    for (std::size_t rank = 0; rank < demandByRank.size(); ++rank) {
+        granted.push_back(std::min(demandByRank[rank], guaranteedShares[rank] * slots));
+        left -= granted.back();
+    }
+    for (std::size_t rank = 0; rank < demandByRank.size() && left > 0.0; ++rank) {
+        const double more = std::min(left, demandByRank[rank] - granted[rank]);
+        granted[rank] += more;
+        left -= more;
+    }
+    return granted;
+}
+
+std::vector<std::vector<int>> splitSlots(const service_spec &service, const std::vector<member_demand> &members,
+                                         const std::vector<double> &guaranteedShares)
 {
     std::vector<std::vector<int>> owned(service.targets.size(), std::vector<int>(members.size(), 0));
     if (members.empty()) {
         return owned;
     }
-    std::vector<int> left = apportion(declaredSlots(service), members);
+    std::vector<double> claimed;
+    for (const auto &byRank : dueSlots(declaredSlots(service), members, guaranteedShares)) {
+        claimed.push_back(leastClaim + std::accumulate(byRank.begin(), byRank.end(), 0.0));
+    }
+    std::vector<int> left = apportion(declaredSlots(service), claimed);
     std::vector<int> freeSlots;
     for (const auto &target : service.targets) {
         freeSlots.push_back(target.slots);
@@ -68,6 +107,23 @@
     return owned;
 }
 
+std::vector<double> memberRankShares(double slots, const std::vector<member_demand> &members, std::size_t member,
+                                     const std::vector<double> &guaranteedShares)
+{
+    if (member >= members.size()) {
+        return guaranteedShares;
+    }
+    std::vector<double> shares = dueSlots(slots, members, guaranteedShares)[member];
+    const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+    if (sum <= 0.0) {
+        return guaranteedShares;
+    }
+    for (double &share : shares) {
+        share /= sum;
+    }
+    return shares;
+}
+
 int slotCeiling(int owned, int slots, double demandRatio)
 {
     return demandRatio < borrowBelowRatio ? slots : owned;
--- a/src/flamingofield/control/service_table.cpp
+++ b/src/flamingofield/control/service_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace flamingofield {
 
@@ -15,6 +16,7 @@
 constexpr milliseconds calmEvidencePeriod{1000}; // While targets are out but none is in doubt.
 constexpr milliseconds demandChangePeriod{500};
 constexpr double demandChange = 1.0; // Slots.
+constexpr double demandSmoothing = 0.2; // Weight of the newest sample, one each tick.
 constexpr seconds leavingAnnouncement{3};
 
 rank_queue_limits queueLimits(const operator_text &text)
@@ -53,21 +55,9 @@
     for (const auto &spec : text.services) {
         auto row = std::find_if(m_rows.begin(), m_rows.end(), [&](const auto &r) { return r.name == spec.name; });
         if (row == m_rows.end()) {
-            service_row added{static_cast<int>(m_rows.size()),
-                              spec.name,
-                              nullptr,
-                              service_judge(policyOf(spec)),
-                              {},
-                              {},
-                              false,
-                              true,
-                              {},
-                              {},
-                              -1.0,
-                              {},
-                              false,
-                              {},
-                              {}};
+            service_row added(policyOf(spec));
+            added.number = static_cast<int>(m_rows.size());
+            added.name = spec.name;
             row = m_rows.insert(m_rows.end(), std::move(added));
         }
         const bool isGateKept = row->gate != nullptr && isSameRanks(row->gate->limits(), limits);
@@ -123,8 +113,9 @@
         }
         // Any node may have read that a target leaves, but only members have evidence and demand.
         const bool isFromMember = std::find(row.members.begin(), row.members.end(), sender) != row.members.end();
-        if (isFromMember && std::isfinite(report.demand) && report.demand >= 0.0F) {
-            row.demands[sender] = {report.demand, now};
+        const bool isSound = std::all_of(report.demand.begin(), report.demand.end(), [](float d) { return std::isfinite(d) && d >= 0.0F; });
+        if (isFromMember && isSound) {
+            row.demands[sender] = {{report.demand.begin(), report.demand.end()}, now};
         }
         for (std::size_t i = 0; i < row.targets.size(); ++i) {
             const std::string &address = row.judge.targets()[i].address;
@@ -178,24 +169,35 @@
     std::vector<member_demand> demands;
     for (const auto member : row.members) {
         const auto told = row.demands.find(member);
-        double demand = told != row.demands.end() && now - told->second.heardAt < demandLease ? told->second.slots : 0.0;
-        demand = member == self ? std::max(row.lastSentDemand, 0.0) : demand;
-        demands.push_back({toHex(member), demand});
+        const bool isHeld = told != row.demands.end() && now - told->second.heardAt < demandLease;
+        const std::vector<double> none;
+        demands.push_back({toHex(member), member == self ? row.demand : isHeld ? told->second.byRank : none});
     }
     return demands;
 }
 
+void service_table::smoothDemand(service_row &row)
+{
+    const std::vector<double> current = row.gate->demand();
+    row.demand.resize(current.size(), 0.0);
+    for (std::size_t rank = 0; rank < current.size(); ++rank) {
+        row.demand[rank] += demandSmoothing * (current[rank] - row.demand[rank]);
+    }
+}
+
 void service_table::applyLimits(std::uint64_t self, instant now)
 {
     for (auto &row : m_rows) {
+        smoothDemand(row);
         const std::vector<member_demand> demands = memberDemands(row, self, now);
-        const std::vector<std::vector<int>> owned = splitSlots(row.spec, demands);
+        const std::vector<std::vector<int>> owned = splitSlots(row.spec, demands, row.gate->limits().guaranteedShares);
         double demanded = 0.0;
         for (const auto &d : demands) {
-            demanded += d.demand;
+            demanded += std::accumulate(d.byRank.begin(), d.byRank.end(), 0.0);
         }
         const double ratio = demanded / std::max(1, declaredSlots(row.spec));
         const auto place = static_cast<std::size_t>(std::find(row.members.begin(), row.members.end(), self) - row.members.begin());
+        row.gate->setShares(memberRankShares(declaredSlots(row.spec), demands, place, row.gate->limits().guaranteedShares));
         std::vector<int> ownedHere(row.targets.size(), 0);
         std::vector<int> ceilings(row.targets.size(), 0);
         for (std::size_t s = 0; s < row.spec.targets.size(); ++s) {
@@ -225,7 +227,7 @@
     if (!r.isMember && r.leavingHashes.empty()) {
         return std::nullopt;
     }
-    const double demand = r.gate->demand();
+    const double demand = std::accumulate(r.demand.begin(), r.demand.end(), 0.0);
     const std::vector<evidence_report> evidence = r.judge.reports(now);
     const bool isLeavingDue = !r.leavingHashes.empty();
     const duration sinceSent = now - r.lastSentAt;
@@ -238,7 +240,7 @@
     }
     service_report report;
     report.service = hashOf(r.name);
-    report.demand = static_cast<float>(demand);
+    report.demand.assign(r.demand.begin(), r.demand.end());
     for (const auto &e : evidence) {
         report.evidence.push_back({hashOf(e.target), static_cast<float>(e.score), static_cast<float>(e.recent.bad),
                                    static_cast<float>(e.recent.total), e.isWarming});
--- a/src/flamingofield/control/service_table.hpp
+++ b/src/flamingofield/control/service_table.hpp
@@ -17,13 +17,18 @@
 /// Demand that a member told.
 struct told_demand
 {
-    double slots = 0.0;
+    std::vector<double> byRank;
     instant heardAt;
 };
 
 /// Row of the service table.
 struct service_row
 {
+    explicit service_row(judge_policy policy)
+        : judge(policy)
+    {
+    }
+
     int number = 0;
     std::string name;
     std::shared_ptr<service_gate> gate;
@@ -34,7 +39,8 @@
     bool isListed = true;
     std::vector<endpoint> targets; ///< By index in the gate and in the judge.
     std::map<std::uint64_t, told_demand> demands; ///< By incarnation.
-    double lastSentDemand = -1.0;
+    std::vector<double> demand; ///< Of this node by rank, smoothed.
+    double lastSentDemand = -1.0; ///< Sum over the ranks.
     instant lastSentAt;
     bool hadEvidence = false;
     std::vector<std::uint64_t> leavingHashes; ///< Targets found draining, to be told to the other members.
@@ -87,6 +93,7 @@
 
 private:
     void announceLeaving(service_row &row, std::size_t target, instant now);
+    static void smoothDemand(service_row &row);
     std::vector<member_demand> memberDemands(const service_row &row, std::uint64_t self, instant now) const;
 
     std::vector<service_row> m_rows;
--- a/src/flamingofield/fleet/peer_message.cpp
+++ b/src/flamingofield/fleet/peer_message.cpp
@@ -225,7 +225,7 @@
 {
     service_report report;
     report.service = in.value<std::uint64_t>();
-    report.demand = in.value<float>();
+    report.demand = in.value<std::vector<float>>();
     array_reader rows(in.next());
     for (std::uint32_t i = 0; i < rows.size(); ++i) {
         array_reader row(rows.next());
--- a/src/flamingofield/fleet/peer_message.hpp
+++ b/src/flamingofield/fleet/peer_message.hpp
@@ -67,7 +67,7 @@
 struct service_report
 {
     std::uint64_t service = 0; ///< Hash of the name.
-    float demand = 0.0F; ///< Slots that it could use.
+    std::vector<float> demand; ///< Slots that it could use, by rank.
     std::vector<wire_evidence> evidence;
     std::vector<std::uint64_t> leaving; ///< Hashes of the addresses of targets that are draining.
 };
--- a/src/flamingofield/gate/request_handler.cpp
+++ b/src/flamingofield/gate/request_handler.cpp
@@ -206,7 +206,7 @@
     request.caller = work.caller;
     request.deadline = work.deadline;
     const bool isLeastUrgent = work.rank + 1 == static_cast<int>(work.snapshot.text->ranks.size());
-    request.pick = {work.route.idempotent && isLeastUrgent, excluded, ++m_sequence};
+    request.pick = {work.route.idempotent && isLeastUrgent, excluded, ++m_sequence, {}};
     return work.view.gate->acquire(request);
 }
 
@@ -328,7 +328,7 @@
         done.isGood = answer->status < 500;
     }
     const auto *lost = std::get_if<backend_lost>(&done.result);
-    work.view.gate->release(target, done.isGood, done.isShed);
+    work.view.gate->release(target, work.rank, done.isGood, done.isShed);
     if (lost != nullptr && lost->reusedConnection && work.route.idempotent && std::chrono::steady_clock::now() < work.deadline) {
         return attemptOnFreshConnection(work, target, deadline + work.view.attemptLimit);
     }
@@ -339,7 +339,7 @@
 request_handler::attempt_result request_handler::attemptOnFreshConnection(const job &work, std::size_t target, instant deadline)
 {
     // A reused connection may have gone silent without any fault of the target; a fresh one tells which it was.
-    work.view.gate->update([&](slot_ledger &ledger) { ++ledger.at(target).inUse; });
+    work.view.gate->addUse(target, work.rank);
     attempt_result second = attempt(work, target, std::min(deadline, work.deadline), true);
     if (second.isGood) {
         m_context.counters.add(counter::silentConnections);
