Prove whole answers, planned stop, leaving targets, detection and configuration with real processes

Cause of the red detection test (nothing ejected in 6 s): the sick target got no work at all. A window started at one slot and grew only in full use, and the choice among targets weighed load by the window, so targets that had grown first kept all work (0 requests offered to the first of 7 targets in 5 s). Ruled out: the lateness limit (it needed 20 answers a target, now 20 a service) and the callers' spread (all took one entry VM, since the stand-in sent no caller name; mended too). Change: a node starts with the whole ceiling, and load is weighed by the ceiling.

--- a/src/flamingofield/admit/slot_ledger.cpp
+++ b/src/flamingofield/admit/slot_ledger.cpp
@@ -51,7 +51,8 @@
             best = i;
             break;
         }
-        const double load = t.weight > 0.0 ? (t.inUse + 1) / (t.weight * t.window.allowed()) : 0.0;
+        // The ceiling and not the window: a window that shrank would otherwise keep work away and never grow again.
+        const double load = t.weight > 0.0 ? (t.inUse + 1) / (t.weight * std::max(t.window.ceiling, 1)) : 0.0;
         if (hasFreeSlot(t, request.now) && (!best || load < bestLoad)) {
             best = i;
             bestLoad = load;
--- a/src/flamingofield/admit/slot_window.cpp
+++ b/src/flamingofield/admit/slot_window.cpp
@@ -13,12 +13,11 @@
 
 void slot_window::bound(int ownedSlots, int mostSlots)
 {
-    const bool ceilingRose = mostSlots > ceiling;
+    // A node starts with all it may use; sheds teach it less.
+    value = isBound ? value : mostSlots;
+    isBound = true;
     owned = ownedSlots;
     ceiling = mostSlots;
-    if (ceilingRose && value >= owned) {
-        value = std::max(value, static_cast<double>(owned));
-    }
     value = std::min(value, static_cast<double>(ceiling));
 }
 
--- a/src/flamingofield/admit/slot_window.hpp
+++ b/src/flamingofield/admit/slot_window.hpp
@@ -7,6 +7,7 @@
 {
     double value = 1.0;
     int owned = 0; ///< Slots that this node holds by the shared quota.
+    bool isBound = false;
     int ceiling = 1; ///< Most slots that this node may use at present.
 
     /// Sets quota and ceiling and moves the value between them.
--- a/src/flamingofield/config/read_budget.cpp
+++ b/src/flamingofield/config/read_budget.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr double rareReadsPerSecond = 150.0; // Of all nodes that hold no watch.
-constexpr double firstReadsPerSecond = 800.0; // In a restart of the whole fleet.
+constexpr double firstReadsPerSecond = 500.0; // In a restart of the whole fleet.
 constexpr milliseconds leastRareInterval{10000};
+constexpr milliseconds leastStartingInterval{1500};
 constexpr milliseconds readerInterval{250};
 constexpr milliseconds firstBackoff{500};
 constexpr milliseconds mostBackoff{15000};
@@ -23,11 +24,13 @@
 
 } // namespace
 
-read_plan planReads(std::size_t fleetSize, bool isReader, int failures, std::uint64_t seed)
+read_plan planReads(std::size_t fleetSize, read_role role, int failures, std::uint64_t seed)
 {
-    const auto share = std::chrono::duration<double>(static_cast<double>(fleetSize) / rareReadsPerSecond);
-    duration interval
-        = isReader ? duration(readerInterval) : std::max<duration>(leastRareInterval, std::chrono::duration_cast<duration>(share));
+    const bool isReader = role == read_role::reader;
+    const bool isStarting = role == read_role::starting;
+    const std::chrono::duration<double> share(static_cast<double>(fleetSize) / (isStarting ? firstReadsPerSecond : rareReadsPerSecond));
+    const duration least = isStarting ? leastStartingInterval : leastRareInterval;
+    duration interval = isReader ? duration(readerInterval) : std::max<duration>(least, std::chrono::duration_cast<duration>(share));
     if (failures > 0) {
         const auto backoff = std::min<duration>(firstBackoff * (1 << std::min(failures - 1, mostDoublings)), mostBackoff);
         interval = std::max<duration>(interval, backoff);
--- a/src/flamingofield/control/control_tables.cpp
+++ b/src/flamingofield/control/control_tables.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t readersPerDataCentre = 2;
 constexpr milliseconds publishPeriod{1000};
 constexpr milliseconds watchLength{8000};
+constexpr milliseconds readerDelay{3000};
 constexpr milliseconds configRequestPeriod{300};
 constexpr std::size_t peersAskedAtStart = 3;
 constexpr milliseconds startGrace{2500}; // For peers to tell of a newer text than a stale store holds.
@@ -311,8 +312,12 @@
     }
 }
 
-bool control_tables::isReader() const
+bool control_tables::isReader(instant now) const
 {
+    // A process that just started knows few nodes and would take itself for a reader.
+    if (!m_isServing || now - m_servingSince < readerDelay) {
+        return false;
+    }
     std::vector<std::pair<double, std::uint64_t>> scores{
         {rendezvousScore("store reader", flamingofield::toString(m_context.configuration.advertisedPeer)), m_context.incarnation}};
     for (const auto &row : m_members.live(false)) {
@@ -344,6 +349,7 @@
             return;
         }
         m_isServing = true;
+        m_servingSince = now;
         m_mustPublish = true;
         logEvent(log_level::info, "serving", {{"version", std::to_string(m_config.stamp().version)}});
     }
@@ -408,7 +414,7 @@
     }
     m_isReading = true;
     m_context.counters.add(counter::storeReads);
-    const read_plan plan = planReads(m_members.live(true).size() + 1, isReader(), m_readFailures, nextSeed());
+    const read_plan plan = planNextRead(now);
     return read_order{m_config.highestRevision(), plan.mayWatch && m_hasReadOnce ? watchLength : milliseconds(0)};
 }
 
@@ -430,7 +436,15 @@
             noteOffer(m_config.offer(read->text, read->revision, "store", now), "store", now);
         }
     }
-    m_nextRead = now + planReads(m_members.live(true).size() + 1, isReader(), m_readFailures, nextSeed()).interval;
+    m_nextRead = now + planNextRead(now).interval;
+}
+
+read_plan control_tables::planNextRead(instant now)
+{
+    const std::size_t seen = m_members.live(true).size() + 1;
+    const read_role role = !m_isServing ? read_role::starting : isReader(now) ? read_role::reader : read_role::other;
+    const std::size_t fleet = m_isServing ? seen : std::max(seen, m_context.configuration.expectedFleet);
+    return planReads(fleet, role, m_readFailures, nextSeed());
 }
 
 bool control_tables::takeDueVmRead(instant now)
@@ -449,7 +463,7 @@
     const double fleet = static_cast<double>(m_members.live(true).size() + 1);
     const auto share = std::chrono::duration_cast<duration>(std::chrono::duration<double>(fleet / vmReadsPerSecond));
     // Readers pass on what the list says, so that the other nodes need to read it only rarely.
-    const duration interval = isReader() ? duration(readerVmInterval) : std::max<duration>(leastVmInterval, share);
+    const duration interval = isReader(now) ? duration(readerVmInterval) : std::max<duration>(leastVmInterval, share);
     m_nextVmRead = now + interval + milliseconds(nextSeed() % 300);
     if (!answer) {
         m_context.counters.add(counter::storeFailures);
@@ -496,7 +510,7 @@
 
 std::string control_tables::status(instant now) const
 {
-    return encodeStatus({m_context, m_config, m_services, m_members, m_isServing, isReader()}, now);
+    return encodeStatus({m_context, m_config, m_services, m_members, m_isServing, isReader(now)}, now);
 }
 
 } // namespace flamingofield
--- a/src/flamingofield/control/control_tables.hpp
+++ b/src/flamingofield/control/control_tables.hpp
@@ -76,8 +76,9 @@
     void publish(instant now);
     void logChanges(instant now);
     bool isReady(instant now) const;
-    bool isReader() const;
+    bool isReader(instant now) const;
     std::vector<node_info> liveNodes(instant now) const;
+    read_plan planNextRead(instant now);
     std::uint64_t nextSeed();
 
     control_context m_context;
@@ -88,6 +89,7 @@
     instant m_startedAt;
     instant m_lastTick;
     bool m_isServing = false;
+    instant m_servingSince;
     bool m_mustPublish = false;
     instant m_nextPublish;
     std::uint64_t m_seed;
--- a/src/flamingofield/judge/latency_reference.cpp
+++ b/src/flamingofield/judge/latency_reference.cpp
@@ -11,7 +11,8 @@
 constexpr double slowFactor = 3.0;
 constexpr double slowMarginMs = 30.0;
 constexpr double unknownLimitMs = 500.0; // Until enough answers have been seen.
-constexpr int leastCount = 20;
+constexpr int leastCount = 5;
+constexpr int leastTotal = 20; // Over all targets of the service.
 
 } // namespace
 
@@ -29,13 +30,15 @@
 duration slowLimit(const std::vector<latency_estimate> &estimates)
 {
     std::vector<double> known;
+    int total = 0;
     for (const auto &e : estimates) {
+        total += e.count;
         if (e.count >= leastCount) {
             known.push_back(e.quantileMs);
         }
     }
     double limitMs = unknownLimitMs;
-    if (!known.empty()) {
+    if (!known.empty() && total >= leastTotal) {
         const auto middle = known.begin() + static_cast<long>((known.size() - 1) / 2);
         std::nth_element(known.begin(), middle, known.end());
         limitMs = *middle * slowFactor + slowMarginMs;
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -46,7 +46,7 @@
     for (std::size_t i = 0; i < entries.size(); ++i) {
         backend_request request;
         request.method = "GET";
-        request.target = "/v1/addresses?service=" + service;
+        request.target = "/v1/addresses?service=" + service + "&caller=" + flamingofield::toHex(m_identifier);
         request.deadline = std::chrono::steady_clock::now() + addressTimeout;
         const auto outcome = m_client.send(entries[(first + i) % entries.size()], request);
         const auto *answer = std::get_if<backend_answer>(&outcome);
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -93,6 +93,13 @@
     return m_peak;
 }
 
+void platform::resetPeak()
+{
+    const std::lock_guard lock(m_mutex);
+    m_recent.clear();
+    m_peak = 0;
+}
+
 bool platform::countRead()
 {
     const std::lock_guard lock(m_mutex);
--- a/standins/platform.hpp
+++ b/standins/platform.hpp
@@ -43,8 +43,9 @@
     std::uint64_t reads() const;
     std::uint64_t refusals() const;
 
-    /// Most calls counted in any one second.
+    /// Most calls counted in any one second since the last reset.
     std::uint64_t peakReadsPerSecond() const;
+    void resetPeak();
 
 private:
     flamingofield::http_answer handle(const flamingofield::http_request &request);
--- /dev/null
+++ b/tests/system/answer_tests.cpp
@@ -0,0 +1,219 @@
+#include "caller.hpp"
+#include "fleet.hpp"
+#include "scripted_server.hpp"
+#include "support/test_arguments.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+using namespace standins;
+using flamingofield::milliseconds;
+using flamingofield::seconds;
+
+namespace {
+
+constexpr int rawTimeoutMs = 8000;
+
+/// Every caller gets the whole answer to its own request, or a clear error.
+class answer_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(answer_tests);
+    CPPUNIT_TEST(givesManyCallersTheirOwnAnswers);
+    CPPUNIT_TEST(neverPassesOnAnAnswerCutAtAnyByte);
+    CPPUNIT_TEST(rejectsAnswersThatNoLengthMakesWhole);
+    CPPUNIT_TEST(refusesBadRequestsWithoutDisturbingOthers);
+    CPPUNIT_TEST(servesNewCallersWhileIdleAndSlowOnesHoldConnections);
+    CPPUNIT_TEST(replacesConnectionsThatWentSilent);
+    CPPUNIT_TEST_SUITE_END();
+
+    static fleet_plan planOf(int targets, bool hasProxies)
+    {
+        fleet_plan plan;
+        plan.services = {{"wilgoc", targets, 4, targets * 4, "sequential"}};
+        plan.seed = test_support::testSeed();
+        plan.hasTargetProxies = hasProxies;
+        return plan;
+    }
+
+    void givesManyCallersTheirOwnAnswers()
+    {
+        fleet deployment(planOf(4, false));
+        for (auto &target : deployment.targets()) {
+            backend_behaviour mixed;
+            mixed.serviceTime = milliseconds(3);
+            mixed.slowShare = 0.3;
+            mixed.slowTime = milliseconds(40);
+            target.server->setBehaviour(mixed);
+        }
+        CPPUNIT_ASSERT(deployment.start());
+        std::atomic<int> whole{0};
+        std::atomic<int> mixedUp{0};
+        std::vector<std::thread> threads;
+        for (int c = 0; c < 24; ++c) {
+            threads.emplace_back([&, c] {
+                caller client(deployment.gates());
+                for (int i = 0; i < 40; ++i) {
+                    call request;
+                    request.target = "/wilgoc/normal/" + std::to_string(i);
+                    request.token = std::to_string(c) + "-" + std::to_string(i);
+                    const call_result got = client.send("wilgoc", request);
+                    const auto body = nlohmann::json::parse(got.body, nullptr, false);
+                    if (got.outcome == "done") {
+                        const bool isOwn = body.is_object() && body["token"] == request.token && body["path"] == request.target;
+                        ++(isOwn ? whole : mixedUp);
+                    }
+                }
+            });
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(0, mixedUp.load());
+        CPPUNIT_ASSERT(whole > 0);
+    }
+
+    void neverPassesOnAnAnswerCutAtAnyByte()
+    {
+        fleet deployment(planOf(1, true));
+        CPPUNIT_ASSERT(deployment.start());
+        caller client(deployment.gates());
+        call request;
+        request.target = "/wilgoc/read/1";
+        request.token = "whole";
+        const call_result whole = client.send("wilgoc", request);
+        CPPUNIT_ASSERT_EQUAL(200, whole.status);
+        constexpr std::size_t mostAnswerBytes = 260;
+        for (std::size_t bytes = 0; bytes < mostAnswerBytes; ++bytes) {
+            link_faults cut;
+            cut.cutToClientAfter = bytes;
+            deployment.targets().front().proxy->setFaults(cut);
+            const call_result got = client.send("wilgoc", request);
+            const bool isWhole = got.status == 200 && got.body == whole.body;
+            const bool isError = got.status >= 500 && got.outcome != "done";
+            CPPUNIT_ASSERT_MESSAGE("cut after " + std::to_string(bytes) + ": " + std::to_string(got.status) + " " + got.body,
+                                   isWhole || isError);
+        }
+    }
+
+    void rejectsAnswersThatNoLengthMakesWhole()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+        const std::vector<std::string> answers{
+            head + "Content-Length: 50\r\n\r\nshort",
+            head + "\r\nno length at all",
+            head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+            head + "X-Long: " + std::string(20000, 'x') + "\r\nContent-Length: 2\r\n\r\nok",
+            "garbage\r\n\r\n",
+        };
+        fleet deployment(planOf(1, false));
+        CPPUNIT_ASSERT(deployment.start());
+        caller client(deployment.gates());
+        for (const auto &answer : answers) {
+            deployment.targets().front().server->stop();
+            scripted_server rude(answer, true);
+            CPPUNIT_ASSERT(awaitTrue([&] { return rude.start(deployment.targets().front().address).has_value(); }, seconds(5)));
+            call request;
+            request.target = "/wilgoc/read/1";
+            const call_result got = client.send("wilgoc", request);
+            CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 120) + " gave " + got.body, got.status >= 500 && got.outcome != "done");
+        }
+    }
+
+    void refusesBadRequestsWithoutDisturbingOthers()
+    {
+        fleet deployment(planOf(4, false));
+        CPPUNIT_ASSERT(deployment.start());
+        const auto gate = deployment.nodes().front().gate;
+        std::atomic<bool> isDone{false};
+        std::atomic<int> disturbed{0};
+        std::thread others([&] {
+            caller client(deployment.gates());
+            while (!isDone) {
+                call request;
+                request.target = "/wilgoc/read/2";
+                disturbed += client.send("wilgoc", request).status == 200 ? 0 : 1;
+            }
+        });
+        const std::vector<std::pair<std::string, std::string>> cases{
+            {"nonsense\r\n\r\n", "400"},
+            {"GET /" + std::string(3000, 'a') + " HTTP/1.1\r\nHost: x\r\n\r\n", "414"},
+            {"GET / HTTP/1.1\r\nX: " + std::string(20000, 'a') + "\r\n\r\n", "431"},
+            {"POST /wilgoc/once/1 HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+            {"POST /wilgoc/once/1 HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na", "400"},
+            {"POST /wilgoc/once/1 HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n", "413"},
+            {"GET /nowhere HTTP/1.1\r\nConnection: close\r\n\r\n", "404"},
+            {"POST /wilgoc/once/1 HTTP/1.1\r\nConnection: close\r\nIdempotency-Key: " + std::string(500, 'k') + "\r\n\r\n", "400"},
+            {"POST /wilgoc/once/1 HTTP/1.1\r\nConnection: close\r\n\r\n", "400"},
+            {"GET / HTTP/1.1\r\nHost: slow", "408"},
+        };
+        for (const auto &[bytes, status] : cases) {
+            const std::string answer = exchangeRaw(gate, bytes, rawTimeoutMs);
+            CPPUNIT_ASSERT_MESSAGE(bytes.substr(0, 60) + " gave " + answer.substr(0, 200), answer.rfind("HTTP/1.1 " + status, 0) == 0);
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("application/problem+json") != std::string::npos);
+        }
+        isDone = true;
+        others.join();
+        CPPUNIT_ASSERT_EQUAL(0, disturbed.load());
+    }
+
+    void servesNewCallersWhileIdleAndSlowOnesHoldConnections()
+    {
+        fleet deployment(planOf(4, false));
+        CPPUNIT_ASSERT(deployment.start());
+        const auto gate = deployment.nodes().front().gate;
+        std::vector<std::unique_ptr<caller>> idle;
+        call request;
+        request.target = "/wilgoc/read/3";
+        request.entry = gate;
+        for (int i = 0; i < 300; ++i) {
+            idle.push_back(std::make_unique<caller>(std::vector<flamingofield::endpoint>{gate}));
+            CPPUNIT_ASSERT_EQUAL(200, idle.back()->send("wilgoc", request).status);
+        }
+        std::vector<std::thread> slow;
+        for (int i = 0; i < 100; ++i) {
+            slow.emplace_back([&] { exchangeRaw(gate, "GET / HTTP/1.1\r\nHost: half", rawTimeoutMs); });
+        }
+        constexpr milliseconds rankDeadline{2000};
+        for (int i = 0; i < 50; ++i) {
+            caller fresh({gate});
+            request.timeout = rankDeadline;
+            const call_result got = fresh.send("wilgoc", request);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(got.detail + got.body, 200, got.status);
+        }
+        for (auto &thread : slow) {
+            thread.join();
+        }
+    }
+
+    void replacesConnectionsThatWentSilent()
+    {
+        fleet deployment(planOf(2, true));
+        CPPUNIT_ASSERT(deployment.start());
+        caller client(deployment.gates());
+        call request;
+        request.target = "/wilgoc/read/4";
+        for (int i = 0; i < 60; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200, client.send("wilgoc", request).status);
+        }
+        for (auto &target : deployment.targets()) {
+            link_faults silent;
+            silent.silenceExisting = true;
+            target.proxy->setFaults(silent);
+        }
+        for (int i = 0; i < 60; ++i) {
+            const call_result got = client.send("wilgoc", request);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(got.detail + got.body, 200, got.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, deployment.counterSum("ejections_total"));
+        CPPUNIT_ASSERT(deployment.counterSum("silent_connections_total") > 0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(answer_tests);
+
+} // namespace
--- /dev/null
+++ b/tests/system/operation_tests.cpp
@@ -0,0 +1,209 @@
+#include "caller.hpp"
+#include "fleet.hpp"
+#include "support/test_arguments.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace standins;
+using flamingofield::milliseconds;
+using flamingofield::seconds;
+
+namespace {
+
+constexpr seconds leavingLimit{3};
+constexpr seconds detectionLimit{1};
+constexpr seconds restartLimit{20};
+
+/// Callers that send work all the time until told to stop.
+class steady_load
+{
+public:
+    steady_load(fleet &deployment, int callers, milliseconds pace, const std::string &path)
+        : m_deployment(deployment)
+    {
+        for (int i = 0; i < callers; ++i) {
+            m_threads.emplace_back([this, pace, path] { run(pace, path); });
+        }
+    }
+
+    ~steady_load()
+    {
+        stop();
+    }
+
+    void stop()
+    {
+        m_isDone = true;
+        for (auto &thread : m_threads) {
+            thread.join();
+        }
+        m_threads.clear();
+    }
+
+    int done() const
+    {
+        return m_done;
+    }
+    int cut() const
+    {
+        return m_cut;
+    }
+    int refused() const
+    {
+        return m_refused;
+    }
+
+private:
+    void run(milliseconds pace, const std::string &path)
+    {
+        caller client(m_deployment.gates());
+        while (!m_isDone) {
+            call request;
+            request.target = path;
+            const call_result got = client.send("wilgoc", request);
+            (got.outcome == "done" ? m_done : got.outcome == "not run" ? m_refused : m_cut) += 1;
+            std::this_thread::sleep_for(pace);
+        }
+    }
+
+    fleet &m_deployment;
+    std::atomic<bool> m_isDone{false};
+    std::atomic<int> m_done{0};
+    std::atomic<int> m_cut{0};
+    std::atomic<int> m_refused{0};
+    std::vector<std::thread> m_threads;
+};
+
+class operation_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(operation_tests);
+    CPPUNIT_TEST(cutsNoRequestOnAPlannedStop);
+    CPPUNIT_TEST(replacesAllNodesUnderLoadWithoutACut);
+    CPPUNIT_TEST(sendsNothingNewToATargetThatSaysItLeaves);
+    CPPUNIT_TEST(sendsNothingNewToATargetThatTheListSaysLeaves);
+    CPPUNIT_TEST(takesOutATargetThatTimesOutOnRealWorkOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+    static fleet_plan planOf(int nodes)
+    {
+        fleet_plan plan;
+        plan.services = {{"wilgoc", 7, 4, 20, "sequential"}};
+        plan.nodes = nodes;
+        plan.seed = test_support::testSeed();
+        return plan;
+    }
+
+    void cutsNoRequestOnAPlannedStop()
+    {
+        fleet deployment(planOf(4));
+        CPPUNIT_ASSERT(deployment.start());
+        steady_load load(deployment, 12, milliseconds(5), "/wilgoc/read/1");
+        deployment.nodes()[0].process.signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(0, deployment.nodes()[0].process.wait());
+        load.stop();
+        CPPUNIT_ASSERT_EQUAL(0, load.cut());
+        CPPUNIT_ASSERT_EQUAL(0, load.refused());
+        CPPUNIT_ASSERT(load.done() > 0);
+    }
+
+    void replacesAllNodesUnderLoadWithoutACut()
+    {
+        fleet deployment(planOf(4));
+        CPPUNIT_ASSERT(deployment.start());
+        steady_load load(deployment, 8, milliseconds(5), "/wilgoc/read/1");
+        for (std::size_t i = 0; i < deployment.nodes().size(); ++i) {
+            deployment.nodes()[i].process.signal(SIGTERM);
+            CPPUNIT_ASSERT_EQUAL(0, deployment.nodes()[i].process.wait());
+            deployment.startNode(i);
+            CPPUNIT_ASSERT(deployment.awaitServing(i, restartLimit));
+            CPPUNIT_ASSERT(deployment.awaitMembers(4, restartLimit));
+        }
+        load.stop();
+        CPPUNIT_ASSERT_EQUAL(0, load.cut());
+    }
+
+    /// Counts what a target is offered once the limit has passed, while load goes on.
+    static void checkNothingNew(fleet &deployment, const std::function<void()> &leave)
+    {
+        steady_load load(deployment, 8, milliseconds(5), "/wilgoc/read/1");
+        backend_server &server = *deployment.targets().front().server;
+        CPPUNIT_ASSERT(awaitTrue([&] { return server.offered() > 20; }, restartLimit));
+        leave();
+        std::this_thread::sleep_for(leavingLimit);
+        const std::uint64_t before = server.offered();
+        std::this_thread::sleep_for(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(before, server.offered());
+        load.stop();
+        CPPUNIT_ASSERT_EQUAL(0, load.cut());
+    }
+
+    void sendsNothingNewToATargetThatSaysItLeaves()
+    {
+        fleet deployment(planOf(4));
+        CPPUNIT_ASSERT(deployment.start());
+        checkNothingNew(deployment, [&] {
+            backend_behaviour draining;
+            draining.isDraining = true;
+            deployment.targets().front().server->setBehaviour(draining);
+        });
+    }
+
+    void sendsNothingNewToATargetThatTheListSaysLeaves()
+    {
+        fleet deployment(planOf(4));
+        CPPUNIT_ASSERT(deployment.start());
+        checkNothingNew(deployment, [&] {
+            std::vector<flamingofield::listed_vm> vms;
+            for (const auto &node : deployment.nodes()) {
+                vms.push_back({node.peer, false});
+            }
+            vms.push_back({deployment.targets().front().address, true});
+            deployment.store().setVms(std::move(vms));
+        });
+    }
+
+    /// True if no node that is a member gives a target work.
+    static bool isOutFleetWide(fleet &deployment, const std::string &address)
+    {
+        for (std::size_t i = 0; i < deployment.nodes().size(); ++i) {
+            const auto page = nlohmann::json::parse(deployment.status(i), nullptr, false);
+            for (const auto &service : page.is_object() ? page["services"] : nlohmann::json::array()) {
+                for (const auto &target : service["targets"]) {
+                    const bool isUsed
+                        = service["member"].get<bool>() && target["address"] == address && target["weight"].get<double>() > 0.0;
+                    if (isUsed) {
+                        return false;
+                    }
+                }
+            }
+        }
+        return true;
+    }
+
+    void takesOutATargetThatTimesOutOnRealWorkOnly()
+    {
+        fleet deployment(planOf(6));
+        CPPUNIT_ASSERT(deployment.start());
+        // 16 callers with 85 ms a turn offer about 190 requests/s, of which each of 7 targets gets more than 20.
+        steady_load load(deployment, 16, milliseconds(75), "/wilgoc/read/1");
+        std::this_thread::sleep_for(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, deployment.counterSum("ejections_total"));
+        backend_behaviour sick;
+        sick.hangShare = 1.0;
+        const std::string address = toString(deployment.targets().front().address);
+        deployment.targets().front().server->setBehaviour(sick);
+        CPPUNIT_ASSERT(awaitTrue([&] { return isOutFleetWide(deployment, address); }, detectionLimit));
+        load.stop();
+        CPPUNIT_ASSERT_EQUAL(0, load.cut());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(operation_tests);
+
+} // namespace
