Measure the control cost of a node; stop the scheduler's polling and score only what was observed

Cause: an idle node took 7.1% of a core (8 nodes; budget 4%). Ruled out: the judge (33 targets, below 0.2%) and peer messages (10 a second). CAF's default scheduler polls for work to steal; with the sharing policy it waits. Also: the judge compared every target with all others each tick, observed or not: 36 targets in 20 services took 3.7% of a core, 4,100 services 797%.

--- a/bench/suites.hpp
+++ b/bench/suites.hpp
@@ -28,6 +28,12 @@
 /// Detection time and false ejections of the policies under each fault, from seeded runs of the decision functions.
 suite_result measureJudge(const bench_arguments &arguments);
 
+/// Control cost of a node at growing fleets, and of the tables at the size of two years.
+suite_result measureCost(const bench_arguments &arguments);
+
+/// Time until a new text is in force everywhere.
+suite_result measureSpread(const bench_arguments &arguments);
+
 /// Service by rank under floods, from seeded runs of the admission functions.
 suite_result measureFlood(const bench_arguments &arguments);
 
--- a/src/flamingofield/control/control_plane.cpp
+++ b/src/flamingofield/control/control_plane.cpp
@@ -74,6 +74,8 @@
 {
     caf::actor_system_config config;
     config.set("scheduler.max-threads", std::size_t{1});
+    // The default policy polls for work to steal, which costs an idle node several percent of a core.
+    config.set("scheduler.policy", caf::atom("sharing"));
     return config;
 }
 
--- a/src/flamingofield/judge/service_judge.cpp
+++ b/src/flamingofield/judge/service_judge.cpp
@@ -342,6 +342,9 @@
     }
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
         judged_target &t = m_targets[i];
+        if (t.batchGood + t.batchBad == 0) {
+            continue;
+        }
         const evidence_batch batch{t.batchGood, t.batchBad, healthyBadRate(i, now)};
         flamingofield::observe(t.test, batch);
     }
@@ -413,8 +416,9 @@
 {
     const double local = evidenceOf(t.test, m_threshold);
     // Where only some nodes see a target as sick, their paths may be at fault, and each judges for itself.
-    const bool usesPeers = m_policy.usesPeers && isBorneOutByMost(t, now) && !contradictsPeers(t, now);
-    return usesPeers ? local + peersEvidence(t, now) : local;
+    const double peers = m_policy.usesPeers && !t.peers.empty() ? peersEvidence(t, now) : 0.0;
+    const bool usesPeers = peers > 0.0 && isBorneOutByMost(t, now) && !contradictsPeers(t, now);
+    return usesPeers ? local + peers : local;
 }
 
 bool service_judge::isDeniedByPeers(const judged_target &t, instant now) const
