--- a/src/flamingo/commands.cpp
+++ b/src/flamingo/commands.cpp
@@ -149,6 +149,23 @@
     return node.value();
 }
 
+/// Status pages of all nodes; sets the exit code if there are none.
+std::vector<flamingofield::node_page> readPages(const arguments &given, int &code)
+{
+    const auto node = nodeOf(given);
+    if (!node) {
+        code = usageError;
+        return {};
+    }
+    auto pages = flamingofield::readFleet(*node, queryTimeout);
+    if (!pages) {
+        std::cerr << "flamingo: " << describe(pages.error()) << "\n";
+        code = failure;
+        return {};
+    }
+    return std::move(pages.value());
+}
+
 void printStatus(const json &page)
 {
     const auto &config = page["config"];
@@ -186,17 +203,13 @@
 
 int targets(const arguments &given)
 {
-    const auto node = nodeOf(given);
-    if (!node) {
-        return usageError;
-    }
-    const auto pages = flamingofield::readFleet(*node, queryTimeout);
-    if (!pages) {
-        std::cerr << "flamingo: " << describe(pages.error()) << "\n";
-        return failure;
+    int code = success;
+    const auto pages = readPages(given, code);
+    if (code != success) {
+        return code;
     }
     json rows = json::array();
-    for (const auto &p : pages.value()) {
+    for (const auto &p : pages) {
         const json page = json::parse(p.page, nullptr, false);
         for (const auto &service : page.is_object() ? page["services"] : json::array()) {
             for (auto target : service["member"].get<bool>() ? service["targets"] : json::array()) {
@@ -224,17 +237,13 @@
     if (given.words.size() != 2 || given.words[1] != "burn") {
         return complain("report takes: burn");
     }
-    const auto node = nodeOf(given);
-    if (!node) {
-        return usageError;
-    }
-    const auto pages = flamingofield::readFleet(*node, queryTimeout);
-    if (!pages) {
-        std::cerr << "flamingo: " << describe(pages.error()) << "\n";
-        return failure;
+    int code = success;
+    const auto pages = readPages(given, code);
+    if (code != success) {
+        return code;
     }
     flamingofield::burn_report report;
-    for (const auto &p : pages.value()) {
+    for (const auto &p : pages) {
         const bool isRead = !p.page.empty() && addStatus(report, p.page);
         (isRead ? report.answered : report.missing).push_back(p.admin);
     }
--- a/src/flamingofield/control/control_tables.cpp
+++ b/src/flamingofield/control/control_tables.cpp
@@ -3,6 +3,7 @@
 #include "control/node_status.hpp"
 #include "control/snapshot_builder.hpp"
 #include "core/hash.hpp"
+#include "core/overloaded.hpp"
 #include "fleet/service_members.hpp"
 #include "report/log.hpp"
 
@@ -45,12 +46,6 @@
     return names[static_cast<std::size_t>(state)];
 }
 
-template<typename... Visitors> struct overloaded : Visitors...
-{
-    using Visitors::operator()...;
-};
-template<typename... Visitors> overloaded(Visitors...) -> overloaded<Visitors...>;
-
 } // namespace
 
 control_tables::control_tables(control_context context, peer_link &link)
--- a/src/flamingofield/gate/connection_server.cpp
+++ b/src/flamingofield/gate/connection_server.cpp
@@ -1,13 +1,13 @@
 #include "gate/connection_server.hpp"
 
 #include "core/time.hpp"
+#include "gate/buffered_stream.hpp"
 #include "gate/request_head.hpp"
 
 #include <httplib.h>
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 
@@ -24,99 +24,9 @@
 namespace {
 
 constexpr int pollMilliseconds = 100;
-constexpr int bodyReadMilliseconds = 5000;
-constexpr int writeMilliseconds = 5000;
 constexpr int drainMilliseconds = 10000;
 constexpr int pollEvents = 128;
 
-bool waitFor(int fd, short events, int timeoutMs)
-{
-    pollfd p{fd, events, 0};
-    int ready = 0;
-    do {
-        ready = ::poll(&p, 1, timeoutMs);
-    } while (ready < 0 && errno == EINTR);
-    return ready > 0;
-}
-
-/// Stream over a socket that first yields bytes already read from it.
-class buffered_stream : public httplib::Stream
-{
-public:
-    buffered_stream(int fd, std::string remoteHost)
-        : m_fd(fd)
-        , m_remoteHost(std::move(remoteHost))
-    {
-    }
-
-    void push(std::string_view bytes)
-    {
-        m_buffer.erase(0, m_offset);
-        m_offset = 0;
-        m_buffer.append(bytes);
-    }
-
-    std::string_view buffered() const
-    {
-        return std::string_view(m_buffer).substr(m_offset);
-    }
-
-    bool is_readable() const override
-    {
-        return !buffered().empty() || waitFor(m_fd, POLLIN, bodyReadMilliseconds);
-    }
-
-    bool is_writable() const override
-    {
-        return waitFor(m_fd, POLLOUT, writeMilliseconds);
-    }
-
-    ssize_t read(char *ptr, size_t size) override
-    {
-        if (buffered().empty()) {
-            if (!waitFor(m_fd, POLLIN, bodyReadMilliseconds)) {
-                return -1;
-            }
-            return ::recv(m_fd, ptr, size, 0);
-        }
-        const std::size_t count = std::min(size, buffered().size());
-        std::copy_n(buffered().data(), count, ptr);
-        m_offset += count;
-        return static_cast<ssize_t>(count);
-    }
-
-    ssize_t write(const char *ptr, size_t size) override
-    {
-        if (!is_writable()) {
-            return -1;
-        }
-        return ::send(m_fd, ptr, size, MSG_NOSIGNAL);
-    }
-
-    void get_remote_ip_and_port(std::string &ip, int &port) const override
-    {
-        ip = m_remoteHost;
-        port = 0;
-    }
-
-    void get_local_ip_and_port(std::string &ip, int &port) const override
-    {
-        ip.clear();
-        port = 0;
-    }
-
-    socket_t socket() const override
-    {
-        return m_fd;
-    }
-
-private:
-    int m_fd;
-    std::string m_remoteHost;
-    std::string m_buffer;
-    std::size_t m_offset = 0;
-};
-
 std::string remoteHostOf(int fd)
 {
     sockaddr_in address{};
@@ -451,7 +361,7 @@
                 stream.push(head);
                 return true;
             }
-            if (std::holds_alternative<head_refused>(inspection) || !waitFor(fd, POLLIN, bodyReadMilliseconds)) {
+            if (std::holds_alternative<head_refused>(inspection) || !awaitReadable(fd)) {
                 return false;
             }
             const ssize_t count = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
--- a/src/flamingofield/gate/request_handler.cpp
+++ b/src/flamingofield/gate/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "gate/request_handler.hpp"
 
 #include "core/hash.hpp"
+#include "core/overloaded.hpp"
 #include "gate/address_answer.hpp"
 
 #include <algorithm>
@@ -16,12 +17,6 @@
 constexpr int mostAttempts = 3;
 constexpr std::size_t mostRecordedBody = 64U << 10U;
 
-template<typename... Visitors> struct overloaded : Visitors...
-{
-    using Visitors::operator()...;
-};
-template<typename... Visitors> overloaded(Visitors...) -> overloaded<Visitors...>;
-
 std::optional<int> parseNumber(const std::string &text)
 {
     int value = 0;
@@ -72,6 +67,17 @@
     return passed;
 }
 
+backend_request passOn(const http_request &request)
+{
+    backend_request passed;
+    passed.method = request.method;
+    passed.target = request.target;
+    passed.body = request.body;
+    passed.contentType = request.contentType;
+    passed.headers = endToEndHeaders(request.headers);
+    return passed;
+}
+
 http_answer fromRecord(const recorded_answer &record)
 {
     http_answer answer;
@@ -311,12 +317,7 @@
 {
     const instant begun = std::chrono::steady_clock::now();
     const std::uint64_t number = m_context.inflight.begin(work.view.number, target, work.caller, begun);
-    backend_request request;
-    request.method = work.request.method;
-    request.target = work.request.target;
-    request.body = work.request.body;
-    request.contentType = work.request.contentType;
-    request.headers = endToEndHeaders(work.request.headers);
+    backend_request request = passOn(work.request);
     request.headers.emplace("Flamingo-Deadline-Ms", std::to_string(std::max(0LL, toMilliseconds(work.deadline - begun))));
     request.deadline = deadline;
     request.freshConnection = fresh;
@@ -375,12 +376,7 @@
 
 http_answer request_handler::forward(const job &work, const member_view &node, int hopsLeft)
 {
-    backend_request request;
-    request.method = work.request.method;
-    request.target = work.request.target;
-    request.body = work.request.body;
-    request.contentType = work.request.contentType;
-    request.headers = endToEndHeaders(work.request.headers);
+    backend_request request = passOn(work.request);
     const instant now = std::chrono::steady_clock::now();
     request.headers.emplace("Flamingo-Deadline-Ms", std::to_string(std::max(0LL, toMilliseconds(work.deadline - now))));
     request.headers.emplace("Flamingo-Hops", std::to_string(hopsLeft));
--- /dev/null
+++ b/src/flamingofield/judge/judged_target.cpp
@@ -0,0 +1,23 @@
+#include "judge/judged_target.hpp"
+
+#include <array>
+
+namespace flamingofield {
+
+const char *toString(target_state state)
+{
+    constexpr std::array<const char *, 6> names{"in service", "warming", "ejected", "trial", "ramping", "leaving"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+bool takesWork(const judged_target &t)
+{
+    return t.isListed && (t.state == target_state::inService || t.state == target_state::ramping || t.state == target_state::warming);
+}
+
+bool isOut(const judged_target &t)
+{
+    return t.state == target_state::ejected || t.state == target_state::trial;
+}
+
+} // namespace flamingofield
--- a/src/flamingofield/judge/service_judge.cpp
+++ b/src/flamingofield/judge/service_judge.cpp
@@ -13,21 +13,7 @@
 constexpr milliseconds sameInstant{15}; // Bad observations of one source this close together count once.
 constexpr seconds longHalfLife{60};
 constexpr seconds shortHalfLife{2};
-constexpr double priorBadRate = 0.01;
-constexpr double priorWeight = 100.0; // Observations that the prior stands for.
-constexpr double recentPriorWeight = 4.0;
-constexpr double highestBadRate = 0.97;
-constexpr double comparisonShare = 0.5; // Of the evidence, that must stand in comparison with the other targets.
-constexpr double mostPeerTotalRatio = 3.0;
-constexpr double contraryDeviations = 2.0; // One view in forty is wrongly taken as contrary.
-constexpr double contraryVariance = 0.25;
 constexpr seconds rewarmingPause{60}; // Before peers may call a target warming again.
-constexpr double lowestBadRate = 0.005;
-constexpr double highestHealthyRate = 0.6;
-constexpr seconds peerEvidenceLifetime{3};
-constexpr double peerCapShare = 0.4; // Of the threshold, that one peer may contribute.
-constexpr double peerOffset = 1.0; // Nats that a healthy target reaches all the time somewhere.
-constexpr double leastEvidence = 2.5; // Nats, about one bad observation that no good ones followed.
 constexpr double contraryShare = 0.1; // A peer with less evidence than this share of the threshold sees the target well.
 constexpr double contraryObservations = 3.0;
 constexpr double selfSuspicionShare = 0.5; // Share of targets sick at once that points at this node.
@@ -44,8 +30,6 @@
 constexpr seconds relapseMemory{600};
 constexpr milliseconds longestTick{500}; // A longer gap means that this process was paused.
 constexpr double reportShare = 0.1;
-constexpr int leastSupporters = 3;
-constexpr double supporterShare = 0.58; // Of the witnesses; above what one data centre of three and a chance failure make.
 constexpr seconds toldLeavingLifetime{10};
 
 double rampWeight(duration age, duration length)
@@ -59,43 +43,14 @@
     return std::exp2(-toSeconds(elapsed) / toSeconds(halfLife));
 }
 
-double median(std::vector<double> values)
-{
-    const auto middle = values.begin() + static_cast<long>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
-bool takesWork(const judged_target &t)
-{
-    return t.isListed && (t.state == target_state::inService || t.state == target_state::ramping || t.state == target_state::warming);
-}
-
 /// A target that failed again after its readmission must pass more trials in a row.
 int trialsNeeded(const judged_target &t)
 {
     return firstTrials << std::min(t.relapses, mostTrialDoublings);
 }
 
-/// Only a peer that lately sent work to the target, or has evidence against it, can tell how it is.
-bool isWitness(const peer_evidence &evidence, instant now)
-{
-    return now - evidence.heardAt < peerEvidenceLifetime && (evidence.recent.total >= 1.0 || evidence.score >= leastEvidence);
-}
-
-bool isOut(const judged_target &t)
-{
-    return t.state == target_state::ejected || t.state == target_state::trial;
-}
-
 } // namespace
 
-const char *toString(target_state state)
-{
-    constexpr std::array<const char *, 6> names{"in service", "warming", "ejected", "trial", "ramping", "leaving"};
-    return names[static_cast<std::size_t>(state)];
-}
-
 const char *toString(judge_event::kind kind)
 {
     constexpr std::array<const char *, 9> names{"ejected",    "denied_by_floor", "path_blamed", "restored_for_floor", "trial_started",
@@ -243,94 +198,9 @@
     setLeaving(target, true, now);
 }
 
-recent_counts service_judge::pooledCounts(const judged_target &t, instant now) const
+evidence_view service_judge::viewAt(instant now) const
 {
-    recent_counts pooled{t.recent.bad + t.batchBad, t.recent.total + t.batchBad + t.batchGood};
-    if (!m_policy.usesPeers) {
-        return pooled;
-    }
-    std::vector<recent_counts> told;
-    std::vector<double> totals{pooled.total};
-    for (const auto &[peer, evidence] : t.peers) {
-        if (now - evidence.heardAt < peerEvidenceLifetime) {
-            told.push_back(evidence.recent);
-            totals.push_back(evidence.recent.total);
-        }
-    }
-    // No peer counts for much more than the usual one, whatever it claims to have seen.
-    const double most = std::max(1.0, mostPeerTotalRatio * median(totals));
-    for (const auto &counts : told) {
-        const double factor = counts.total > most ? most / counts.total : 1.0;
-        pooled.bad += factor * std::min(counts.bad, counts.total);
-        pooled.total += factor * counts.total;
-    }
-    return pooled;
-}
-
-double service_judge::othersRecentRate(std::size_t target, instant now) const
-{
-    std::vector<double> rates;
-    for (std::size_t i = 0; i < m_targets.size(); ++i) {
-        if (i != target && takesWork(m_targets[i])) {
-            const recent_counts counts = pooledCounts(m_targets[i], now);
-            rates.push_back((counts.bad + priorBadRate * recentPriorWeight) / (counts.total + recentPriorWeight));
-        }
-    }
-    if (rates.empty()) {
-        return priorBadRate;
-    }
-    // The upper quartile leaves single sick targets out; a fault of the whole service moves it at once.
-    const auto place = rates.begin() + static_cast<long>(rates.size() - 1 - rates.size() / 4);
-    std::nth_element(rates.begin(), place, rates.end());
-    return *place;
-}
-
-double service_judge::healthyBadRate(std::size_t target, instant now) const
-{
-    std::vector<double> lasting;
-    for (std::size_t i = 0; i < m_targets.size(); ++i) {
-        const auto &t = m_targets[i];
-        if (i != target && takesWork(t)) {
-            lasting.push_back((t.longBad + priorBadRate * priorWeight) / (t.longTotal + priorWeight));
-        }
-    }
-    const double rate = lasting.empty() ? priorBadRate : std::max(median(lasting), othersRecentRate(target, now));
-    return std::clamp(rate, lowestBadRate, highestHealthyRate);
-}
-
-bool service_judge::isWorseThanOthers(std::size_t target, double evidence, instant now) const
-{
-    if (!m_policy.usesRelative) {
-        return true;
-    }
-    double othersTotal = 0.0;
-    for (std::size_t i = 0; i < m_targets.size(); ++i) {
-        othersTotal += i != target && takesWork(m_targets[i]) ? pooledCounts(m_targets[i], now).total : 0.0;
-    }
-    const recent_counts own = pooledCounts(m_targets[target], now);
-    // Few observations of the others leave room for the same fault there.
-    const double uncertainty = 1.0 / (othersTotal + 2.0);
-    const double others = std::min(othersRecentRate(target, now) + uncertainty, highestBadRate);
-    const double rate = own.total > 0.0 ? std::min(own.bad / own.total, highestBadRate) : 0.0;
-    if (rate <= others) {
-        return false;
-    }
-    const double good = own.total - own.bad;
-    const double score = own.bad * std::log(rate / others) + good * std::log((1.0 - rate) / (1.0 - others));
-    return score >= std::min(evidence, m_threshold) * comparisonShare;
-}
-
-bool service_judge::contradictsPeers(const judged_target &t, instant now) const
-{
-    const recent_counts pooled = pooledCounts(t, now);
-    const double peersBad = pooled.bad - t.recent.bad;
-    const double peersTotal = pooled.total - t.recent.total;
-    if (peersTotal < 1.0) {
-        return false;
-    }
-    const double rate = std::clamp(peersBad / peersTotal, 0.0, 1.0);
-    const double expected = rate * t.recent.total;
-    return expected - t.recent.bad > contraryDeviations * std::sqrt(expected * (1.0 - rate) + contraryVariance);
+    return {m_targets, now, m_threshold, m_policy.usesPeers, m_policy.usesRelative};
 }
 
 void service_judge::scoreBatches(instant now)
@@ -340,12 +210,13 @@
         // Lateness seen across a pause of this process says nothing of the target.
         t.batchBad = wasPaused ? 0 : t.batchBad;
     }
+    const evidence_view view = viewAt(now);
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
         judged_target &t = m_targets[i];
         if (t.batchGood + t.batchBad == 0) {
             continue;
         }
-        const evidence_batch batch{t.batchGood, t.batchBad, healthyBadRate(i, now)};
+        const evidence_batch batch{t.batchGood, t.batchBad, healthyBadRate(i, view)};
         flamingofield::observe(t.test, batch);
     }
 }
@@ -383,44 +254,6 @@
     m_threshold = evidenceThreshold(m_policy.falseEjectionsPerTargetDay, rate * m_memberCount);
 }
 
-double service_judge::peersEvidence(const judged_target &t, instant now) const
-{
-    double sum = 0.0;
-    double highest = 0.0;
-    for (const auto &[peer, evidence] : t.peers) {
-        if (isWitness(evidence, now)) {
-            const double counted = std::max(0.0, evidence.score - peerOffset);
-            const double capped = std::min(counted, m_threshold * peerCapShare);
-            sum += capped;
-            highest = std::max(highest, capped);
-        }
-    }
-    // The strongest peer is left out, so that one peer that errs or lies adds nothing.
-    return sum - highest;
-}
-
-bool service_judge::isBorneOutByMost(const judged_target &t, instant now) const
-{
-    int supporters = evidenceOf(t.test, m_threshold) >= leastEvidence ? 1 : 0;
-    int witnesses = t.recent.total >= 1.0 || supporters > 0 ? 1 : 0;
-    for (const auto &[peer, evidence] : t.peers) {
-        if (isWitness(evidence, now)) {
-            supporters += evidence.score >= leastEvidence ? 1 : 0;
-            ++witnesses;
-        }
-    }
-    return supporters >= leastSupporters && supporters > supporterShare * witnesses;
-}
-
-double service_judge::combinedEvidence(const judged_target &t, instant now) const
-{
-    const double local = evidenceOf(t.test, m_threshold);
-    // Where only some nodes see a target as sick, their paths may be at fault, and each judges for itself.
-    const double peers = m_policy.usesPeers && !t.peers.empty() ? peersEvidence(t, now) : 0.0;
-    const bool usesPeers = peers > 0.0 && isBorneOutByMost(t, now) && !contradictsPeers(t, now);
-    return usesPeers ? local + peers : local;
-}
-
 bool service_judge::isDeniedByPeers(const judged_target &t, instant now) const
 {
     int contrary = 0;
@@ -464,15 +297,16 @@
 
 void service_judge::decide(instant now, std::vector<judge_event> &events)
 {
+    const evidence_view view = viewAt(now);
     std::vector<floor_row> rows;
     std::vector<bool> adopted;
     for (const auto &t : m_targets) {
         floor_row row;
         row.slots = t.slots;
-        row.evidence = combinedEvidence(t, now);
+        row.evidence = combinedEvidence(t, view);
         row.isEjected = isOut(t);
         row.isAbsent = !t.isListed || t.state == target_state::leaving || t.state == target_state::warming;
-        const bool isConvicted = row.evidence >= m_threshold && isWorseThanOthers(rows.size(), row.evidence, now);
+        const bool isConvicted = row.evidence >= m_threshold && isWorseThanOthers(rows.size(), row.evidence, view);
         row.isSick = takesWork(t) && !t.isReduced && isConvicted;
         adopted.push_back(evidenceOf(t.test, m_threshold) < leastEvidence);
         rows.push_back(row);
--- /dev/null
+++ b/tests/admit/admission_tests.cpp
@@ -0,0 +1,135 @@
+#include "admit/rank_queue.hpp"
+#include "admit/retry_budget.hpp"
+#include "admit/slot_ledger.hpp"
+#include "admit/slot_quota.hpp"
+#include "support/test_arguments.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <numeric>
+#include <random>
+#include <set>
+
+using namespace flamingofield;
+
+namespace {
+
+const instant start = instant() + seconds(1000);
+
+class admission_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_tests);
+    CPPUNIT_TEST(servesUrgentWorkFirst);
+    CPPUNIT_TEST(keepsTheGuaranteedShareInAFloodOfTheMostUrgent);
+    CPPUNIT_TEST(displacesTheCallerWithTheMostPlaces);
+    CPPUNIT_TEST(splitsAllSlotsAndNoneTwice);
+    CPPUNIT_TEST(spreadsWorkOverTargetsThatWereNeverFull);
+    CPPUNIT_TEST(restsATargetThatSheds);
+    CPPUNIT_TEST(boundsRetriesByFirstAttempts);
+    CPPUNIT_TEST_SUITE_END();
+
+    static rank_queue makeQueue()
+    {
+        rank_queue_limits limits;
+        limits.guaranteedShares = {0.5, 0.1};
+        limits.waitersPerRank = 4;
+        return rank_queue(limits);
+    }
+
+    void servesUrgentWorkFirst()
+    {
+        rank_queue queue = makeQueue();
+        queue.offer({1, 1, 10, start + seconds(1)});
+        queue.offer({2, 0, 10, start + seconds(2)});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, queue.take(start)->id);
+    }
+
+    void keepsTheGuaranteedShareInAFloodOfTheMostUrgent()
+    {
+        rank_queue queue = makeQueue();
+        int least = 0;
+        instant now = start;
+        for (std::uint64_t id = 0; id < 2000; ++id) {
+            now += milliseconds(1);
+            queue.offer({2 * id, 0, id, now + seconds(1)});
+            queue.offer({2 * id + 1, 1, id, now + seconds(1)});
+            least += queue.take(now)->rank == 1 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(least >= 190 && least <= 220);
+    }
+
+    void displacesTheCallerWithTheMostPlaces()
+    {
+        rank_queue queue = makeQueue();
+        for (std::uint64_t id = 0; id < 4; ++id) {
+            queue.offer({id, 0, 7, start + seconds(1)});
+        }
+        CPPUNIT_ASSERT(!queue.offer({4, 0, 7, start + seconds(1)}).accepted);
+        const offer_result other = queue.offer({5, 0, 8, start + seconds(1)});
+        CPPUNIT_ASSERT(other.accepted && other.displaced.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, queue.size());
+    }
+
+    void splitsAllSlotsAndNoneTwice()
+    {
+        std::mt19937_64 random(test_support::testSeed());
+        for (int round = 0; round < 500; ++round) {
+            service_spec service;
+            service.targets.resize(1 + random() % 15);
+            for (auto &target : service.targets) {
+                target.slots = 1 + static_cast<int>(random() % 8);
+            }
+            std::vector<member_demand> members(1 + random() % 14);
+            for (auto &member : members) {
+                member.byRank = {static_cast<double>(random() % 50), static_cast<double>(random() % 50)};
+            }
+            const auto owned = splitSlots(service, members, {0.5, 0.1});
+            int sum = 0;
+            for (std::size_t t = 0; t < service.targets.size(); ++t) {
+                CPPUNIT_ASSERT_EQUAL(service.targets[t].slots, std::accumulate(owned[t].begin(), owned[t].end(), 0));
+                sum += service.targets[t].slots;
+            }
+            CPPUNIT_ASSERT_EQUAL(declaredSlots(service), sum);
+        }
+    }
+
+    void spreadsWorkOverTargetsThatWereNeverFull()
+    {
+        slot_ledger ledger;
+        for (std::size_t t = 0; t < 7; ++t) {
+            ledger.at(t).window.bound(1, 4);
+        }
+        std::set<std::size_t> used;
+        for (std::uint64_t i = 0; i < 200; ++i) {
+            const auto target = ledger.pick({false, 0, i, start});
+            used.insert(*target);
+            ledger.release(*target, true, false, start);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, used.size());
+    }
+
+    void restsATargetThatSheds()
+    {
+        slot_ledger ledger;
+        ledger.at(0).window.bound(4, 4);
+        const auto target = ledger.pick({false, 0, 0, start});
+        ledger.release(*target, false, true, start);
+        CPPUNIT_ASSERT(!ledger.pick({false, 0, 0, start + milliseconds(5)}).has_value());
+        CPPUNIT_ASSERT(ledger.pick({false, 0, 0, start + milliseconds(50)}).has_value());
+    }
+
+    void boundsRetriesByFirstAttempts()
+    {
+        retry_budget budget(0.05);
+        int retries = 0;
+        for (int i = 0; i < 10000; ++i) {
+            budget.deposit();
+            retries += budget.withdraw() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(retries <= 501);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_tests);
+
+} // namespace
