Read the VM list as soon as a node becomes a reader; move the store schedule into its own module

Cause of the red test (a target that the list says leaves was offered 146 requests after 3 s; it had passed before): a node planned its next read of the list, 10 s away, while it was starting, and kept the plan when it became a reader. Ruled out: the spread among members, which takes one tick after the read. Change: becoming a reader makes both reads due, and a node may be one after 1 s instead of 3 s.

--- a/bench/cost_suite.cpp
+++ b/bench/cost_suite.cpp
@@ -67,7 +67,8 @@
 
 double heapBytes()
 {
-    return static_cast<double>(mallinfo2().uordblks);
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd); // Small blocks and mapped ones.
 }
 
 flamingofield::operator_text makeText(int services, int targetsPerService, int routesPerService)
--- a/src/flamingofield/control/control_tables.cpp
+++ b/src/flamingofield/control/control_tables.cpp
@@ -17,17 +17,13 @@
 constexpr std::size_t piggybackWhole = 400; // Records in one message of a whole exchange.
 constexpr std::size_t readersPerDataCentre = 2;
 constexpr milliseconds publishPeriod{1000};
-constexpr milliseconds watchLength{8000};
-constexpr milliseconds readerDelay{3000};
+constexpr milliseconds readerDelay{1000};
 constexpr milliseconds configRequestPeriod{300};
 constexpr std::size_t peersAskedAtStart = 3;
 constexpr milliseconds startGrace{2500}; // For peers to tell of a newer text than a stale store holds.
 constexpr milliseconds longestTick{500};
 constexpr milliseconds probePeriod{1000};
 constexpr seconds expiryPeriod{5};
-constexpr double vmReadsPerSecond = 100.0; // Of the whole fleet.
-constexpr seconds leastVmInterval{10};
-constexpr milliseconds readerVmInterval{1000};
 
 node_info selfInfo(const control_context &context)
 {
@@ -53,19 +49,11 @@
     , m_link(link)
     , m_members(selfInfo(m_context), {}, m_context.incarnation)
     , m_startedAt(std::chrono::steady_clock::now())
-    , m_seed(m_context.incarnation)
-    , m_nextRead(m_startedAt + firstReadDelay(m_context.configuration.expectedFleet, m_context.incarnation))
-    , m_nextVmRead(m_nextRead)
+    , m_schedule(m_context.configuration.expectedFleet, m_context.incarnation, m_startedAt)
 {
     m_members.setHints(m_context.configuration.seeds);
 }
 
-std::uint64_t control_tables::nextSeed()
-{
-    m_seed = hashOf("seed", m_seed);
-    return m_seed;
-}
-
 void control_tables::sendMessage(const endpoint &to, message_body body, std::vector<node_record> records, instant now)
 {
     peer_message message;
@@ -402,64 +390,44 @@
     tick(now);
 }
 
-std::optional<read_order> control_tables::takeDueRead(instant now)
+void control_tables::updateSchedule(instant now)
 {
-    if (m_isReading || now < m_nextRead) {
-        return std::nullopt;
-    }
-    m_isReading = true;
-    m_context.counters.add(counter::storeReads);
-    const read_plan plan = planNextRead(now);
-    return read_order{m_config.highestRevision(), plan.mayWatch && m_hasReadOnce ? watchLength : milliseconds(0)};
+    const read_role role = !m_isServing ? read_role::starting : isReader(now) ? read_role::reader : read_role::other;
+    m_schedule.setRole(role, m_members.live(true).size() + 1, now);
 }
 
-void control_tables::takeStoreAnswer(const result<std::optional<stored_text>> &answer, instant now)
+std::optional<read_order> control_tables::takeDueRead(instant now)
 {
-    m_isReading = false;
-    if (!answer) {
-        m_context.counters.add(counter::storeFailures);
-        if (m_readFailures++ == 0) {
-            logEvent(log_level::warn, "store_unreachable", {{"error", describe(answer.error())}});
-        }
-    } else {
-        if (m_readFailures > 0) {
-            logEvent(log_level::info, "store_reachable", {});
-        }
-        m_readFailures = 0;
-        m_hasReadOnce = true;
-        if (const auto &read = answer.value()) {
-            noteOffer(m_config.offer(read->text, read->revision, "store", now), "store", now);
-        }
-    }
-    m_nextRead = now + planNextRead(now).interval;
+    updateSchedule(now);
+    const auto order = m_schedule.takeDueRead(m_config.highestRevision(), now);
+    m_context.counters.add(counter::storeReads, order ? 1 : 0);
+    return order;
 }
 
-read_plan control_tables::planNextRead(instant now)
+void control_tables::takeStoreAnswer(const result<std::optional<stored_text>> &answer, instant now)
 {
-    const std::size_t seen = m_members.live(true).size() + 1;
-    const read_role role = !m_isServing ? read_role::starting : isReader(now) ? read_role::reader : read_role::other;
-    const std::size_t fleet = m_isServing ? seen : std::max(seen, m_context.configuration.expectedFleet);
-    return planReads(fleet, role, m_readFailures, nextSeed());
+    const bool isChange = m_schedule.noteRead(answer.has_value(), now);
+    m_context.counters.add(counter::storeFailures, answer ? 0 : 1);
+    if (isChange && answer) {
+        logEvent(log_level::info, "store_reachable", {});
+    } else if (isChange) {
+        logEvent(log_level::warn, "store_unreachable", {{"error", describe(answer.error())}});
+    }
+    if (answer && answer.value()) {
+        noteOffer(m_config.offer(answer.value()->text, answer.value()->revision, "store", now), "store", now);
+    }
 }
 
 bool control_tables::takeDueVmRead(instant now)
 {
-    if (m_isReadingVms || now < m_nextVmRead) {
-        return false;
-    }
-    m_isReadingVms = true;
-    m_context.counters.add(counter::storeReads);
-    return true;
+    const bool isDue = m_schedule.takeDueVmRead(now);
+    m_context.counters.add(counter::storeReads, isDue ? 1 : 0);
+    return isDue;
 }
 
 void control_tables::takeVms(const result<std::vector<listed_vm>> &answer, instant now)
 {
-    m_isReadingVms = false;
-    const double fleet = static_cast<double>(m_members.live(true).size() + 1);
-    const auto share = std::chrono::duration_cast<duration>(std::chrono::duration<double>(fleet / vmReadsPerSecond));
-    // Readers pass on what the list says, so that the other nodes need to read it only rarely.
-    const duration interval = isReader(now) ? duration(readerVmInterval) : std::max<duration>(leastVmInterval, share);
-    m_nextVmRead = now + interval + milliseconds(nextSeed() % 300);
+    m_schedule.noteVmRead(now);
     if (!answer) {
         m_context.counters.add(counter::storeFailures);
         return;
--- a/src/flamingofield/control/control_tables.hpp
+++ b/src/flamingofield/control/control_tables.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "config/read_budget.hpp"
 #include "config/store_client.hpp"
 #include "control/config_keeper.hpp"
 #include "control/control_plane.hpp"
 #include "control/service_table.hpp"
+#include "control/store_schedule.hpp"
 #include "fleet/membership.hpp"
 #include "fleet/peer_link.hpp"
 
@@ -29,13 +29,6 @@
     bool isDraining = false;
 };
 
-/// A read of the store to make.
-struct read_order
-{
-    std::uint64_t afterRevision = 0;
-    milliseconds wait{0};
-};
-
 /// Tables of the control plane and the systems that run over them each tick. Called by one actor only.
 class control_tables
 {
@@ -78,8 +71,7 @@
     bool isReady(instant now) const;
     bool isReader(instant now) const;
     std::vector<node_info> liveNodes(instant now) const;
-    read_plan planNextRead(instant now);
-    std::uint64_t nextSeed();
+    void updateSchedule(instant now);
 
     control_context m_context;
     peer_link &m_link;
@@ -92,19 +84,13 @@
     instant m_servingSince;
     bool m_mustPublish = false;
     instant m_nextPublish;
-    std::uint64_t m_seed;
 
     config_stamp m_highestHeard;
     endpoint m_highestHeardFrom;
     std::map<std::uint64_t, config_stamp> m_heardStamps;
     instant m_lastConfigRequest;
 
-    bool m_isReading = false;
-    int m_readFailures = 0;
-    instant m_nextRead;
-    bool m_hasReadOnce = false;
-    bool m_isReadingVms = false;
-    instant m_nextVmRead;
+    store_schedule m_schedule;
     std::vector<listed_vm> m_vms;
     instant m_nextProbe;
     instant m_nextExpiry;
