--- a/bench/judge_model.cpp
+++ b/bench/judge_model.cpp
@@ -150,7 +150,6 @@
         case judge_fault::halfSlow:
         case judge_fault::slowAndTimeOut:
         case judge_fault::pausedAndFailThirty:
-            return target == sickTarget;
         case judge_fault::flapOneSecond:
         case judge_fault::flapFourSeconds:
         case judge_fault::flapFifteenSeconds:
