Remove five functions that nothing calls

Cause: reading the whole change again; service_gate's setServiceTime, addresses and waiting, slot_ledger's allowed and latency_histogram's merge were left from earlier forms of the quota, the status page and the burn report. Behaviour is as before. 33 unit tests, the two path tests and one answer test pass; the three changed sources are lint-clean. The other system tests were not run again.

--- a/src/flamingofield/admit/service_gate.cpp
+++ b/src/flamingofield/admit/service_gate.cpp
@@ -140,24 +140,12 @@
     return found->second;
 }
 
-std::vector<std::string> service_gate::addresses() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_addresses;
-}
-
 void service_gate::setShares(std::vector<double> shares)
 {
     const std::lock_guard lock(m_mutex);
     m_queue.setShares(std::move(shares));
 }
 
-void service_gate::setServiceTime(duration serviceTime)
-{
-    const std::lock_guard lock(m_mutex);
-    m_serviceTime = serviceTime;
-}
-
 std::vector<double> service_gate::demand() const
 {
     const std::lock_guard lock(m_mutex);
@@ -168,12 +156,6 @@
     return byRank;
 }
 
-std::size_t service_gate::waiting(int rank) const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_queue.sizeOf(rank);
-}
-
 void service_gate::depositRetry()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/flamingofield/admit/service_gate.hpp
+++ b/src/flamingofield/admit/service_gate.hpp
@@ -65,9 +65,6 @@
     /// Index of a target's address; the same for the life of the gate.
     std::size_t indexOf(const std::string &address);
 
-    /// Address of each index.
-    std::vector<std::string> addresses() const;
-
     const rank_queue_limits &limits() const
     {
         return m_limits;
@@ -76,14 +73,9 @@
     /// Replaces the guaranteed shares of the ranks at this node.
     void setShares(std::vector<double> shares);
 
-    /// Sets the time that a request usually needs once it has a slot.
-    void setServiceTime(duration serviceTime);
-
     /// Slots in use and requests waiting, by rank.
     std::vector<double> demand() const;
 
-    std::size_t waiting(int rank) const;
-
     void depositRetry();
     bool withdrawRetry();
 
--- a/src/flamingofield/admit/slot_ledger.cpp
+++ b/src/flamingofield/admit/slot_ledger.cpp
@@ -84,15 +84,6 @@
     return std::any_of(m_targets.begin(), m_targets.end(), [](const auto &t) { return t.window.ceiling > 0 && t.weight > 0.0; });
 }
 
-int slot_ledger::allowed() const
-{
-    int sum = 0;
-    for (const auto &t : m_targets) {
-        sum += t.window.ceiling > 0 ? weightedLimit(t) : 0;
-    }
-    return sum;
-}
-
 int slot_ledger::inUse() const
 {
     int sum = 0;
--- a/src/flamingofield/admit/slot_ledger.hpp
+++ b/src/flamingofield/admit/slot_ledger.hpp
@@ -53,9 +53,6 @@
     /// True if any target takes work at all.
     bool hasEligible() const;
 
-    /// Slots that could be in use now by all eligible targets.
-    int allowed() const;
-
     /// Slots in use.
     int inUse() const;
 
--- a/src/flamingofield/report/latency_histogram.cpp
+++ b/src/flamingofield/report/latency_histogram.cpp
@@ -52,11 +52,6 @@
     m_data->histogram(toSeconds(latency) * 1000.0);
 }
 
-void latency_histogram::merge(const latency_histogram &other)
-{
-    m_data->histogram += other.m_data->histogram;
-}
-
 std::uint64_t latency_histogram::total() const
 {
     return bh::algorithm::sum(m_data->histogram, bh::coverage::all);
--- a/src/flamingofield/report/latency_histogram.hpp
+++ b/src/flamingofield/report/latency_histogram.hpp
@@ -23,9 +23,6 @@
 
     void add(duration latency);
 
-    /// Adds the counts of another histogram.
-    void merge(const latency_histogram &other);
-
     /// Latency below which a share of the counts lies, in milliseconds; the upper edge of its bin.
     /// @param share from 0 to 1
     double quantileMs(double share) const;
