--- /dev/null
+++ b/src/flamingofield/balance/health_filter.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/time.hpp"
+
+namespace flamingofield {
+
+/// How much an observation says about a target's health.
+struct evidence_weight
+{
+    double whenSick; ///< Probability of the observation at a sick target.
+    double whenSound; ///< Probability of the observation at a sound target.
+};
+
+/// A target's own failure answer. Sick targets fail most of their requests, sound ones about one in eighty.
+constexpr evidence_weight failedAnswer{0.7, 0.02};
+/// A success.
+constexpr evidence_weight goodAnswer{0.3, 0.98};
+/// A request that has taken several times its route's usual time. Long work happens, so it weighs less than a failure.
+constexpr evidence_weight overdueAnswer{0.45, 0.03};
+/// The same, seen by another node; the path between the two may be at fault instead of the target.
+constexpr evidence_weight toldOverdueAnswer{0.3, 0.1};
+/// A refused, reset or silent connection.
+constexpr evidence_weight brokenConnection{0.6, 0.03};
+
+/// Probability that a target is sick, as a two-state filter: sound targets turn sick and sick ones recover at known mean
+/// rates, and each observation shifts the odds. Without observations a suspicion therefore fades by itself, which brings
+/// trial requests back without a timer for each target.
+class health_filter
+{
+public:
+    /// Mean rate at which a sound target turns sick, per second.
+    static constexpr double sickeningRate = 0.04;
+    /// Mean rate at which a sick target recovers, per second; gray phases last some seconds.
+    static constexpr double recoveryRate = 0.25;
+
+    /// Probability of sickness at a time not before the last observation.
+    double sickness(instant now) const;
+
+    /// Shifts the odds by one observation.
+    void observe(evidence_weight weight, instant now);
+
+    /// Forgets all observations, as after a restart of the target.
+    void reset();
+
+private:
+    static constexpr double initialSickness = 0.05;
+
+    double m_sickness = initialSickness;
+    instant m_updated{};
+};
+
+/// Ratio between the time that a target takes and the usual time of the same routes, from recent requests.
+class slowness_filter
+{
+public:
+    /// Notes a finished request.
+    /// @param taken time until the answer
+    /// @param usual mean time of the route at all targets
+    void observe(duration taken, duration usual, instant now);
+
+    /// 1 for an ordinary target, 5 for one that takes five times as long; between bestRatio and worstRatio.
+    double ratio(instant now) const;
+
+    void reset();
+
+private:
+    /// Time after which an observation counts by 1/e; shorter than the gray phases that it must follow.
+    static constexpr double memorySeconds = 3.0;
+    /// Weight of the assumption that a target is ordinary, in seconds of usual work.
+    static constexpr double priorSeconds = 0.8;
+    static constexpr double bestRatio = 0.5;
+    static constexpr double worstRatio = 20.0;
+
+    double fade(instant now) const;
+
+    double m_taken = 0.0;
+    double m_usual = 0.0;
+    instant m_updated{};
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/balance/retry_ledger.cpp
@@ -0,0 +1,99 @@
+#include "balance/retry_ledger.hpp"
+
+#include <algorithm>
+
+namespace flamingofield {
+
+std::int64_t retry_ledger::numberAt(instant now) const
+{
+    const auto width = std::chrono::duration_cast<duration>(m_terms.window) / buckets;
+    return now.time_since_epoch() / width;
+}
+
+retry_ledger::bucket &retry_ledger::bucketAt(std::string_view service, instant now)
+{
+    auto found = m_rows.find(service);
+    if (found == m_rows.end()) {
+        found = m_rows.emplace(std::string(service), service_row()).first;
+    }
+    const std::int64_t number = numberAt(now);
+    bucket &entry = found->second.own[static_cast<std::size_t>(number) % buckets];
+    if (entry.number != number) {
+        entry = {number, {}};
+    }
+    return entry;
+}
+
+void retry_ledger::countRequest(std::string_view service, instant now)
+{
+    ++bucketAt(service, now).counts.requests;
+}
+
+void retry_ledger::countRepeat(std::string_view service, instant now)
+{
+    ++bucketAt(service, now).counts.repeats;
+}
+
+retry_counts retry_ledger::sum(const service_row &row, instant now) const
+{
+    retry_counts total;
+    const std::int64_t number = numberAt(now);
+    for (const auto &entry : row.own) {
+        if (entry.number > number - static_cast<std::int64_t>(buckets)) {
+            total.requests += entry.counts.requests;
+            total.repeats += entry.counts.repeats;
+        }
+    }
+    return total;
+}
+
+void retry_ledger::told(std::uint64_t peer, std::string_view service, retry_counts counts, instant now)
+{
+    auto found = m_rows.find(service);
+    if (found == m_rows.end()) {
+        found = m_rows.emplace(std::string(service), service_row()).first;
+    }
+    found->second.peers[peer] = {now, counts};
+}
+
+bool retry_ledger::mayRepeat(std::string_view service, std::size_t nodes, instant now) const
+{
+    const auto found = m_rows.find(service);
+    if (found == m_rows.end()) {
+        return false;
+    }
+    const retry_counts mine = sum(found->second, now);
+    double requests = mine.requests;
+    double repeats = mine.repeats;
+    for (const auto &[peer, entry] : found->second.peers) {
+        if (now - entry.first < m_terms.window) {
+            requests += entry.second.requests;
+            repeats += entry.second.repeats;
+        }
+    }
+    const double budget = spentShare * (m_terms.ratio * requests + m_terms.slack);
+    // A node that hears nobody must not spend what the others may be spending.
+    const double share = 1.0 / static_cast<double>(std::max<std::size_t>(1, nodes));
+    const double ownShare = requests > 0.0 ? std::max(share, mine.requests / requests) : share;
+    return repeats + 1.0 <= budget && mine.repeats + 1.0 <= std::max(1.0, 2.0 * ownShare * budget);
+}
+
+retry_counts retry_ledger::own(std::string_view service, instant now) const
+{
+    const auto found = m_rows.find(service);
+    return found == m_rows.end() ? retry_counts() : sum(found->second, now);
+}
+
+std::map<std::string, retry_counts> retry_ledger::tell(instant now) const
+{
+    std::map<std::string, retry_counts> counts;
+    for (const auto &[service, row] : m_rows) {
+        const retry_counts total = sum(row, now);
+        if (total.requests + total.repeats > 0) {
+            counts.emplace(service, total);
+        }
+    }
+    return counts;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/balance/target_table.cpp
@@ -0,0 +1,296 @@
+#include "balance/target_table.hpp"
+
+#include "core/hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingofield {
+
+namespace {
+
+/// Counts told by a peer are dropped when the peer has been silent for this long; it may have ended.
+constexpr milliseconds toldLease{1200};
+/// A target's own load report is newer than the peers' counts for this long.
+constexpr milliseconds loadReportLife{150};
+/// How long a target gets nothing new after it shed; about the time in which one of its slots frees.
+constexpr milliseconds shedRest{120};
+/// Changes are told for this long, so that lost datagrams are made up for.
+constexpr milliseconds tellTime{1500};
+/// A target that takes less than this share of the best expected worth is not used while better ones are busy.
+constexpr double leastShareOfBest = 0.55;
+/// The same for idempotent requests, which are the cheaper trials of a suspected target.
+constexpr double leastShareOfBestIdempotent = 0.4;
+/// Expected worth lost to traffic between data centres, as a share of a request's worth.
+constexpr double remotePenalty = 0.03;
+/// Prefers emptier targets; small against the differences that health makes.
+constexpr double loadPenalty = 0.06;
+/// Worth of an answer that misses its aim.
+constexpr double lateShare = 0.35;
+/// Newly started targets work at about half speed.
+constexpr double coldSlowness = 2.0;
+
+std::uint64_t keyOf(const target_entry &entry)
+{
+    return hashOf(entry.id, static_cast<std::uint64_t>(entry.startedAtMs));
+}
+
+} // namespace
+
+target_table::target_table(std::string dataCentre, std::uint64_t seed)
+    : m_dataCentre(std::move(dataCentre))
+    , m_seed(seed)
+{
+}
+
+std::vector<std::string> target_table::apply(const target_snapshot &snapshot, instant now)
+{
+    std::vector<std::string> changed;
+    std::unordered_map<std::uint64_t, bool> seen;
+    for (const auto &entry : snapshot.targets) {
+        const std::uint64_t key = keyOf(entry);
+        seen[key] = true;
+        auto [position, isNew] = m_rows.try_emplace(key);
+        target_row &row = position->second;
+        if (isNew || row.entry.isDraining != entry.isDraining || !row.isPresent) {
+            changed.push_back(entry.id);
+        }
+        if (isNew) {
+            row.key = key;
+            row.joinedAt = now;
+            row.coldUntil = now + entry.coldFor;
+        }
+        row.entry = entry;
+        row.isPresent = true;
+    }
+    for (auto &[key, row] : m_rows) {
+        if (row.isPresent && seen.count(key) == 0) {
+            row.isPresent = false;
+            changed.push_back(row.entry.id);
+        }
+    }
+    removeEnded();
+    m_byService.clear();
+    for (const auto &[key, row] : m_rows) {
+        if (row.isPresent && !row.entry.isDraining) {
+            m_byService[row.entry.service].push_back(key);
+        }
+    }
+    for (auto &[service, keys] : m_byService) {
+        std::sort(keys.begin(), keys.end());
+    }
+    return changed;
+}
+
+void target_table::removeEnded()
+{
+    for (auto position = m_rows.begin(); position != m_rows.end();) {
+        position = !position->second.isPresent && position->second.own == 0 ? m_rows.erase(position) : std::next(position);
+    }
+}
+
+int target_table::inFlight(const target_row &row, instant now) const
+{
+    int others = 0;
+    for (const auto &[peer, counts] : m_peers) {
+        if (now - counts.heardAt < toldLease) {
+            const auto found = counts.rows.find(row.key);
+            others += found == counts.rows.end() ? 0 : found->second.inFlight;
+        }
+    }
+    const bool isReportFresh = row.load.at != instant{} && now - row.load.at < loadReportLife;
+    const int reported = isReportFresh ? row.load.running + row.load.waiting : 0;
+    return std::max(row.own + others, reported);
+}
+
+double target_table::utilityOf(const target_row &row, const target_query &query, int inFlightThere, instant now) const
+{
+    const double sickness = row.health.sickness(now);
+    const double pathSickness = row.path.sickness(now);
+    const double success = (1.0 - sickness * failedAnswer.whenSick) * (1.0 - pathSickness * brokenConnection.whenSick);
+    double slowness = row.slowness.ratio(now);
+    if (now < row.coldUntil) {
+        slowness = std::max(slowness, coldSlowness);
+    }
+    const int ahead = std::max(0, inFlightThere + 1 - row.entry.slots);
+    const double work = toSeconds(query.usualWork) * slowness;
+    const double expected = work * (1.0 + static_cast<double>(ahead) / std::max(1, row.entry.slots));
+    // Work times vary widely, so the chance to be in time falls smoothly with the expected time.
+    const auto chanceWithin = [&](duration left) {
+        const double ratio = toSeconds(left) / std::max(0.001, expected);
+        return ratio <= 0.0 ? 0.0 : 1.0 - std::exp(-ratio);
+    };
+    const double inTime = chanceWithin(query.aimLeft);
+    const double atAll = chanceWithin(query.timeLeft);
+    const double worth = inTime + lateShare * std::max(0.0, atAll - inTime);
+    const double load = loadPenalty * static_cast<double>(inFlightThere) / std::max(1, row.entry.slots);
+    const double distance = row.entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
+    return success * worth - load - distance;
+}
+
+std::optional<target_choice> target_table::choose(const target_query &query, instant now)
+{
+    const auto keys = m_byService.find(std::string(query.service));
+    if (keys == m_byService.end()) {
+        return std::nullopt;
+    }
+    ++m_choices;
+    target_choice best;
+    double bestOfAll = 0.0;
+    double bestOrder = -2.0;
+    int freeSlots = 0;
+    for (const std::uint64_t key : keys->second) {
+        target_row &row = m_rows.at(key);
+        if (query.excluded != nullptr && std::find(query.excluded->begin(), query.excluded->end(), row.entry.id) != query.excluded->end()) {
+            continue;
+        }
+        const int there = inFlight(row, now);
+        const double utility = utilityOf(row, query, std::min(there, row.entry.slots - 1), now);
+        bestOfAll = std::max(bestOfAll, utility);
+        if (there >= row.entry.slots || now < row.restUntil) {
+            continue;
+        }
+        freeSlots += row.entry.slots - there;
+        // Each node breaks ties in its own order, so that nodes with the same view do not meet at one target.
+        constexpr double tieBreak = 0.02;
+        const double order = utility + tieBreak * static_cast<double>(hashOf(row.entry.id, m_seed + m_choices) >> 11U) / 9007199254740992.0;
+        if (order > bestOrder) {
+            bestOrder = order;
+            best = {&row, utility, row.health.sickness(now), row.slowness.ratio(now), there, 0};
+        }
+    }
+    best.freeSlots = freeSlots;
+    const double least = query.mayRepeat ? leastShareOfBestIdempotent : leastShareOfBest;
+    if (best.row == nullptr || freeSlots <= query.reservedSlots || best.utility < least * bestOfAll) {
+        return std::nullopt;
+    }
+    return best;
+}
+
+void target_table::started(target_row &row)
+{
+    ++row.own;
+}
+
+void target_table::finished(target_row &row, target_outcome outcome, duration taken, duration usualWork, instant now)
+{
+    row.own = std::max(0, row.own - 1);
+    switch (outcome) {
+    case target_outcome::served:
+        row.health.observe(goodAnswer, now);
+        row.path.observe(goodAnswer, now);
+        row.slowness.observe(taken, usualWork, now);
+        ++row.goodAnswers;
+        break;
+    case target_outcome::failed:
+        row.health.observe(failedAnswer, now);
+        row.path.observe(goodAnswer, now);
+        ++row.badAnswers;
+        break;
+    case target_outcome::shed:
+        row.restUntil = now + shedRest;
+        break;
+    case target_outcome::broken:
+        row.path.observe(brokenConnection, now);
+        break;
+    case target_outcome::cancelled:
+        break;
+    }
+    row.toldAt = now;
+}
+
+void target_table::overdue(target_row &row, instant now)
+{
+    row.health.observe(overdueAnswer, now);
+    ++row.overdueAnswers;
+    row.toldAt = now;
+}
+
+void target_table::reported(target_row &row, load_report report)
+{
+    row.load = report;
+}
+
+void target_table::told(std::uint64_t peer, const std::vector<told_target> &rows, instant now)
+{
+    peer_counts &counts = m_peers[peer];
+    const bool isFirst = counts.heardAt == instant{};
+    counts.heardAt = now;
+    for (auto &[key, row] : counts.rows) {
+        row.inFlight = 0;
+    }
+    for (const auto &row : rows) {
+        auto [position, isNew] = counts.rows.try_emplace(row.key, row);
+        const told_target before = isNew ? told_target{row.key, 0, 0, 0, 0} : position->second;
+        position->second = row;
+        target_row *target = find(row.key);
+        // A peer's first message sums up its whole past, which is no news.
+        if (target == nullptr || isFirst) {
+            continue;
+        }
+        constexpr std::uint32_t mostAtOnce = 8;
+        const auto repeat = [&](std::uint32_t newer, std::uint32_t older, evidence_weight weight) {
+            const std::uint32_t times = newer > older ? std::min(newer - older, mostAtOnce) : 0;
+            for (std::uint32_t i = 0; i < times; ++i) {
+                target->health.observe(weight, now);
+            }
+        };
+        repeat(row.badAnswers, before.badAnswers, failedAnswer);
+        repeat(row.goodAnswers, before.goodAnswers, goodAnswer);
+        repeat(row.overdueAnswers, before.overdueAnswers, toldOverdueAnswer);
+    }
+    for (auto position = m_peers.begin(); position != m_peers.end();) {
+        constexpr seconds forgetPeer{30};
+        position = now - position->second.heardAt > forgetPeer ? m_peers.erase(position) : std::next(position);
+    }
+}
+
+std::vector<told_target> target_table::tell(instant now) const
+{
+    std::vector<told_target> told;
+    for (const auto &[key, row] : m_rows) {
+        const bool isRecent = row.toldAt != instant{} && now - row.toldAt < tellTime;
+        if (row.own > 0 || isRecent) {
+            told.push_back({key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.overdueAnswers});
+        }
+    }
+    return told;
+}
+
+int target_table::slotsOf(std::string_view service) const
+{
+    const auto keys = m_byService.find(std::string(service));
+    int slots = 0;
+    if (keys != m_byService.end()) {
+        for (const std::uint64_t key : keys->second) {
+            slots += m_rows.at(key).entry.slots;
+        }
+    }
+    return slots;
+}
+
+int target_table::freeSlotsOf(std::string_view service, instant now) const
+{
+    const auto keys = m_byService.find(std::string(service));
+    int slots = 0;
+    if (keys != m_byService.end()) {
+        for (const std::uint64_t key : keys->second) {
+            const target_row &row = m_rows.at(key);
+            slots += std::max(0, row.entry.slots - inFlight(row, now));
+        }
+    }
+    return slots;
+}
+
+bool target_table::hasTargets(std::string_view service) const
+{
+    return m_byService.count(std::string(service)) != 0;
+}
+
+target_row *target_table::find(std::uint64_t key)
+{
+    const auto found = m_rows.find(key);
+    return found == m_rows.end() ? nullptr : &found->second;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/balance/target_table.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "balance/health_filter.hpp"
+#include "discovery/target_snapshot.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingofield {
+
+/// How an exchange with a target ended, for the target's record.
+enum class target_outcome {
+    served, ///< A whole success.
+    failed, ///< A whole answer with a failure that counts as run.
+    shed, ///< The target said that it did not run the request.
+    broken, ///< The connection failed, was reset or went silent.
+    cancelled, ///< The node broke off; says nothing about the target.
+};
+
+/// Load that a target reported about itself.
+struct load_report
+{
+    int running = 0;
+    int waiting = 0;
+    instant at{};
+};
+
+/// One backend server with all that this node believes of it.
+struct target_row
+{
+    target_entry entry;
+    std::uint64_t key = 0; ///< Hash of id and incarnation; names the target in messages between nodes.
+    bool isPresent = true; ///< In the newest snapshot; absent rows stay until their requests have ended.
+    instant coldUntil{};
+    instant restUntil{}; ///< After it shed a request, no new one before this time.
+    instant joinedAt{};
+    int own = 0; ///< Requests of this node at the target.
+    load_report load;
+    health_filter health; ///< From answers, own and told.
+    health_filter path; ///< From connections of this node alone.
+    slowness_filter slowness;
+    std::uint32_t goodAnswers = 0; ///< Cumulative, own, told to other nodes.
+    std::uint32_t badAnswers = 0; ///< Cumulative, own, told to other nodes.
+    std::uint32_t overdueAnswers = 0; ///< Cumulative, own, told to other nodes.
+    instant toldAt{}; ///< Last change of what is told.
+};
+
+/// What another node told of one target.
+struct told_target
+{
+    std::uint64_t key = 0;
+    std::uint16_t inFlight = 0;
+    std::uint32_t goodAnswers = 0;
+    std::uint32_t badAnswers = 0;
+    std::uint32_t overdueAnswers = 0;
+};
+
+/// The request for which a target is sought.
+struct target_query
+{
+    std::string_view service;
+    duration usualWork{};
+    duration timeLeft{}; ///< Until the caller gives up.
+    duration aimLeft{}; ///< Until an answer loses most of its worth; may be negative.
+    bool mayRepeat = false;
+    const std::vector<std::string> *excluded = nullptr; ///< Ids that already had the request.
+    int reservedSlots = 0; ///< Free slots of the service that more urgent work keeps.
+};
+
+/// A chosen target and why.
+struct target_choice
+{
+    target_row *row = nullptr;
+    double utility = 0.0; ///< Expected share of the request's worth.
+    double sickness = 0.0;
+    double slowness = 1.0;
+    int inFlight = 0;
+    int freeSlots = 0; ///< Of the whole service before this request.
+};
+
+/// Table of all targets; the functions that decide where work goes read it. No network, no clock.
+class target_table
+{
+public:
+    /// @param dataCentre the node's own, preferred among equals
+    /// @param seed spreads the choices of different nodes
+    target_table(std::string dataCentre, std::uint64_t seed);
+
+    /// Takes up a snapshot.
+    /// @return ids that came, left or began to drain
+    std::vector<std::string> apply(const target_snapshot &snapshot, instant now);
+
+    /// Target with the best expected outcome that has a free slot. None if waiting promises more.
+    std::optional<target_choice> choose(const target_query &query, instant now);
+
+    void started(target_row &row);
+    void finished(target_row &row, target_outcome outcome, duration taken, duration usualWork, instant now);
+
+    /// Counts a request that has been running for several times the usual time, once.
+    void overdue(target_row &row, instant now);
+
+    void reported(target_row &row, load_report report);
+
+    /// Takes up what a peer says of its own requests.
+    void told(std::uint64_t peer, const std::vector<told_target> &rows, instant now);
+
+    /// What this node tells others: targets with requests in flight or changed in the last seconds.
+    std::vector<told_target> tell(instant now) const;
+
+    /// Requests at the target from all nodes, as far as known.
+    int inFlight(const target_row &row, instant now) const;
+
+    /// Slots of all present targets of a service that are not draining.
+    int slotsOf(std::string_view service) const;
+    int freeSlotsOf(std::string_view service, instant now) const;
+    bool hasTargets(std::string_view service) const;
+
+    target_row *find(std::uint64_t key);
+    const std::unordered_map<std::uint64_t, target_row> &rows() const
+    {
+        return m_rows;
+    }
+
+private:
+    struct peer_counts
+    {
+        std::unordered_map<std::uint64_t, told_target> rows;
+        instant heardAt{};
+    };
+
+    double utilityOf(const target_row &row, const target_query &query, int inFlightThere, instant now) const;
+    void removeEnded();
+
+    std::string m_dataCentre;
+    std::uint64_t m_seed;
+    std::uint64_t m_choices = 0;
+    std::unordered_map<std::uint64_t, target_row> m_rows;
+    std::unordered_map<std::string, std::vector<std::uint64_t>> m_byService;
+    std::map<std::uint64_t, peer_counts> m_peers;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/balance/work_estimate.cpp
@@ -0,0 +1,27 @@
+#include "balance/work_estimate.hpp"
+
+#include <algorithm>
+
+namespace flamingofield {
+
+void work_estimate::observe(const std::string &route, duration taken)
+{
+    row &entry = m_rows[route];
+    entry.count += 1.0;
+    entry.meanSeconds += (toSeconds(taken) - entry.meanSeconds) * std::max(newestShare, 1.0 / entry.count);
+}
+
+duration work_estimate::usual(const std::string &route) const
+{
+    const auto found = m_rows.find(route);
+    if (found == m_rows.end()) {
+        return initialWork;
+    }
+    // A few answers say little, so the assumption counts as three of them.
+    constexpr double assumedAnswers = 3.0;
+    const double weight = std::min(found->second.count, 1.0 / newestShare);
+    const double mean = (found->second.meanSeconds * weight + toSeconds(initialWork) * assumedAnswers) / (weight + assumedAnswers);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(mean));
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/edge/shared_knowledge.cpp
@@ -0,0 +1,276 @@
+#include "edge/shared_knowledge.hpp"
+
+#include "report/log.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace flamingofield {
+
+namespace {
+
+/// A leaving target must get nothing new two seconds after the store knows; half a second of reading leaves time for a
+/// failed read and the way to all nodes.
+constexpr reading_schedule::pace targetPace{milliseconds(500), milliseconds(1100), milliseconds(80), milliseconds(100), milliseconds(1500)};
+/// The watch reports changes at once and confirms by its end that there were none.
+constexpr reading_schedule::pace configPace{milliseconds(0), milliseconds(1600), milliseconds(80), milliseconds(100), milliseconds(1500)};
+constexpr milliseconds watchTime{1000};
+
+constexpr auto configPath = "/mesh/config";
+constexpr auto targetsPath = "/mesh/targets";
+constexpr auto revisionField = "Document-Revision";
+
+std::uint32_t ageMs(bool isKnown, instant confirmedAt, instant now)
+{
+    return isKnown ? static_cast<std::uint32_t>(std::max<long long>(0, toMilliseconds(now - confirmedAt))) : mesh_knowledge::noAge;
+}
+
+} // namespace
+
+shared_knowledge::shared_knowledge(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets,
+                                   instant startedAt)
+    : m_store(std::move(store))
+    , m_fetch(std::move(fetch))
+    , m_onConfig(std::move(onConfig))
+    , m_onTargets(std::move(onTargets))
+    , m_startedAt(startedAt)
+    , m_configConfirmedAt(startedAt)
+    , m_configReads(configPace)
+    , m_targetsConfirmedAt(startedAt)
+    , m_targetReads(targetPace)
+{
+}
+
+duration shared_knowledge::targetsAge(instant now) const
+{
+    return now - m_targetsConfirmedAt;
+}
+
+duration shared_knowledge::configAge(instant now) const
+{
+    return now - m_configConfirmedAt;
+}
+
+void shared_knowledge::tick(std::size_t rank, instant now)
+{
+    if (now - m_startedAt < startDelay) {
+        return;
+    }
+    // Without any knowledge a node does not wait for its turn.
+    const std::size_t targetsRank = m_hasTargets ? rank : 0;
+    const std::size_t configRank = m_config != nullptr ? rank : 0;
+    if (m_targetReads.isDue(targetsRank, targetsAge(now), now)) {
+        readTargets(now);
+    }
+    if (m_configReads.isDue(configRank, configAge(now), now)) {
+        if (m_watchAfter == 0 || rank != 0) {
+            readConfig(now);
+        } else {
+            watchConfig(now);
+        }
+    }
+}
+
+void shared_knowledge::storeAnswered(std::string_view call)
+{
+    if (m_isStoreLost) {
+        m_isStoreLost = false;
+        logEvent(log_level::info, "store_regained", {{"call", std::string(call)}});
+    }
+}
+
+void shared_knowledge::storeFailed(std::string_view call, const error &problem)
+{
+    if (!m_isStoreLost) {
+        m_isStoreLost = true;
+        logEvent(log_level::warn, "store_lost", {{"call", std::string(call)}, {"error", describe(problem)}});
+    }
+}
+
+void shared_knowledge::readTargets(instant now)
+{
+    m_targetReads.started(now);
+    m_store.readTargets([this, asked = now](result<target_snapshot> read) {
+        const instant ended = std::chrono::steady_clock::now();
+        if (!read) {
+            m_targetReads.failed(ended);
+            m_guard.readFailed(ended);
+            storeFailed("read targets", read.error());
+            return;
+        }
+        m_targetReads.succeeded(ended);
+        storeAnswered("read targets");
+        if (read.value().revision >= m_targets.revision) {
+            takeTargets(m_guard.complete(m_targets, std::move(read.value()), ended), "store", asked, ended);
+        }
+    });
+}
+
+void shared_knowledge::takeTargets(target_snapshot snapshot, std::string_view source, instant confirmedAt, instant now)
+{
+    const std::uint64_t digest = digestOf(snapshot);
+    const bool isChanged = !m_hasTargets || digest != m_digest;
+    m_targets = std::move(snapshot);
+    m_digest = digest;
+    m_hasTargets = true;
+    m_targetsConfirmedAt = std::max(m_targetsConfirmedAt, confirmedAt);
+    if (isChanged) {
+        logEvent(log_level::info, "targets_taken_up",
+                 {{"source", std::string(source)},
+                  {"revision", std::to_string(m_targets.revision)},
+                  {"targets", std::to_string(m_targets.targets.size())},
+                  {"age_ms", std::to_string(toMilliseconds(now - confirmedAt))}});
+        m_onTargets(m_targets);
+    }
+}
+
+void shared_knowledge::readConfig(instant now)
+{
+    m_configReads.started(now);
+    m_store.readConfig([this, asked = now](result<std::pair<store_document, std::uint64_t>> read) {
+        const instant ended = std::chrono::steady_clock::now();
+        if (!read) {
+            m_configReads.failed(ended);
+            storeFailed("read configuration", read.error());
+            return;
+        }
+        m_configReads.succeeded(ended);
+        storeAnswered("read configuration");
+        m_watchAfter = read.value().second;
+        m_configConfirmedAt = std::max(m_configConfirmedAt, asked);
+        m_isConfigConfirmed = true;
+        takeConfig(read.value().first, "store", ended);
+    });
+}
+
+void shared_knowledge::watchConfig(instant now)
+{
+    m_configReads.started(now);
+    m_store.watchConfig(m_watchAfter, watchTime, [this](result<store_watch_end> end) {
+        const instant ended = std::chrono::steady_clock::now();
+        if (!end) {
+            m_configReads.failed(ended);
+            // A cut watch may have missed changes, so the next call reads the whole document.
+            m_watchAfter = 0;
+            storeFailed("watch configuration", end.error());
+            return;
+        }
+        m_configReads.succeeded(ended);
+        storeAnswered("watch configuration");
+        if (end.value().isHistoryLost) {
+            m_watchAfter = 0;
+            return;
+        }
+        m_watchAfter = std::max(m_watchAfter, end.value().storeRevision);
+        m_configConfirmedAt = ended;
+        m_isConfigConfirmed = true;
+        if (end.value().change) {
+            takeConfig(*end.value().change, "store", ended);
+        }
+    });
+}
+
+void shared_knowledge::takeConfig(const store_document &document, std::string_view source, instant now)
+{
+    if (m_config != nullptr && document.revision <= m_document.revision) {
+        return;
+    }
+    auto decoded = m_store.decodeConfig(document);
+    if (!decoded) {
+        logEvent(log_level::error, "config_rejected",
+                 {{"source", std::string(source)}, {"revision", std::to_string(document.revision)}, {"error", describe(decoded.error())}});
+        return;
+    }
+    const config_stamp before = m_config == nullptr ? config_stamp() : m_config->config.stamp;
+    if (m_config != nullptr && !(before < decoded.value().stamp)) {
+        return;
+    }
+    auto active = std::make_shared<active_config>();
+    active->config = std::move(decoded.value());
+    active->router = host_router(active->config.routes);
+    active->confirmedAt = now;
+    m_document = document;
+    m_config = active;
+    logEvent(log_level::info, "config_taken_up",
+             {{"source", std::string(source)},
+              {"version", std::to_string(active->config.stamp.version)},
+              {"before", std::to_string(before.version)},
+              {"revision", std::to_string(document.revision)},
+              {"routes", std::to_string(active->config.routes.size())}});
+    m_onConfig(m_config);
+}
+
+void shared_knowledge::heard(node_address peer, const mesh_knowledge &theirs, instant now)
+{
+    const config_stamp own = m_config == nullptr ? config_stamp() : m_config->config.stamp;
+    if (theirs.config == own && m_config != nullptr && theirs.configAgeMs != mesh_knowledge::noAge) {
+        m_configConfirmedAt = std::max(m_configConfirmedAt, now - milliseconds(theirs.configAgeMs));
+        m_isConfigConfirmed = true;
+    } else if (own < theirs.config && !m_isFetchingConfig) {
+        m_isFetchingConfig = true;
+        m_fetch(peer, configPath, [this](result<http_exchange_answer> answer) {
+            m_isFetchingConfig = false;
+            if (!answer || answer.value().status != 200) {
+                return; // The next message of a peer starts another fetch.
+            }
+            store_document document;
+            const auto text = answer.value().fields.value(revisionField);
+            std::from_chars(text.data(), text.data() + text.size(), document.revision);
+            document.bytes = answer.value().body;
+            takeConfig(document, "peer", std::chrono::steady_clock::now());
+        });
+    }
+    if (theirs.targetsAgeMs == mesh_knowledge::noAge || theirs.targetsRevision < m_targets.revision) {
+        return;
+    }
+    const instant confirmedAt = now - milliseconds(theirs.targetsAgeMs);
+    if (m_hasTargets && theirs.targetsDigest == m_digest) {
+        m_targets.revision = theirs.targetsRevision;
+        m_targetsConfirmedAt = std::max(m_targetsConfirmedAt, confirmedAt);
+        m_guard.snapshotAdopted(now);
+    } else if (!m_isFetchingTargets && (theirs.targetsRevision > m_targets.revision || !m_hasTargets)) {
+        m_isFetchingTargets = true;
+        m_fetch(peer, targetsPath, [this, confirmedAt](result<http_exchange_answer> answer) {
+            m_isFetchingTargets = false;
+            if (!answer || answer.value().status != 200) {
+                return; // The next message of a peer starts another fetch.
+            }
+            const instant ended = std::chrono::steady_clock::now();
+            auto decoded = decodeTargetSnapshot(answer.value().body);
+            if (!decoded) {
+                logEvent(log_level::error, "targets_rejected", {{"source", "peer"}, {"error", describe(decoded.error())}});
+            } else if (decoded.value().revision > m_targets.revision || !m_hasTargets) {
+                m_guard.snapshotAdopted(ended);
+                takeTargets(std::move(decoded.value()), "peer", confirmedAt, ended);
+            }
+        });
+    }
+}
+
+mesh_knowledge shared_knowledge::tell(instant now) const
+{
+    mesh_knowledge knowledge;
+    knowledge.config = m_config == nullptr ? config_stamp() : m_config->config.stamp;
+    knowledge.targetsRevision = m_targets.revision;
+    knowledge.targetsDigest = m_digest;
+    knowledge.targetsAgeMs = ageMs(m_hasTargets, m_targetsConfirmedAt, now);
+    knowledge.configAgeMs = ageMs(m_isConfigConfirmed && m_config != nullptr, m_configConfirmedAt, now);
+    return knowledge;
+}
+
+http_exchange_answer shared_knowledge::serve(const std::string &path) const
+{
+    http_exchange_answer answer;
+    answer.status = 404;
+    if (path == configPath && m_config != nullptr) {
+        answer.status = 200;
+        answer.fields.add(revisionField, std::to_string(m_document.revision));
+        answer.body = m_document.bytes;
+    } else if (path == targetsPath && m_hasTargets) {
+        answer.status = 200;
+        answer.body = encode(m_targets);
+    }
+    return answer;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/edge/shared_knowledge.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "edge/edge_settings.hpp"
+#include "mesh/member_table.hpp"
+#include "store/reading_schedule.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace flamingofield {
+
+/// The configuration and the targets that all nodes share: read from the store by few nodes, fetched from peers by the
+/// others, and by any node itself when its peers have nothing fresh.
+class shared_knowledge
+{
+public:
+    /// Fetches a path from a peer's mesh port.
+    using peer_fetch = std::function<void(node_address, const std::string &path, std::function<void(result<http_exchange_answer>)>)>;
+    using config_handler = std::function<void(std::shared_ptr<const active_config>)>;
+    using targets_handler = std::function<void(const target_snapshot &)>;
+
+    shared_knowledge(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, instant startedAt);
+
+    /// Starts the reads that are due.
+    /// @param rank place of this node in its data centre; 0 reads for the others
+    void tick(std::size_t rank, instant now);
+
+    /// Compares a peer's knowledge with the own and fetches what is newer.
+    void heard(node_address peer, const mesh_knowledge &theirs, instant now);
+
+    /// What to tell peers.
+    mesh_knowledge tell(instant now) const;
+
+    /// Answers a peer's fetch.
+    /// @return the answer, with status 404 if there is nothing yet or the path is unknown
+    http_exchange_answer serve(const std::string &path) const;
+
+    bool isComplete() const
+    {
+        return m_config != nullptr && m_hasTargets;
+    }
+
+    duration targetsAge(instant now) const;
+    duration configAge(instant now) const;
+
+    /// Waits this long after the start before own reads, since peers may know everything already.
+    static constexpr milliseconds startDelay{150};
+
+private:
+    void readTargets(instant now);
+    void readConfig(instant now);
+    void watchConfig(instant now);
+    void takeConfig(const store_document &document, std::string_view source, instant now);
+    void takeTargets(target_snapshot snapshot, std::string_view source, instant confirmedAt, instant now);
+    void storeAnswered(std::string_view call);
+    void storeFailed(std::string_view call, const error &problem);
+
+    store_calls m_store;
+    peer_fetch m_fetch;
+    config_handler m_onConfig;
+    targets_handler m_onTargets;
+    instant m_startedAt;
+    std::shared_ptr<const active_config> m_config;
+    store_document m_document;
+    instant m_configConfirmedAt;
+    bool m_isConfigConfirmed = false;
+    bool m_isFetchingConfig = false;
+    std::uint64_t m_watchAfter = 0; ///< Store revision from which to watch; zero before the first read.
+    reading_schedule m_configReads;
+    target_snapshot m_targets;
+    std::uint64_t m_digest = 0;
+    bool m_hasTargets = false;
+    bool m_isFetchingTargets = false;
+    instant m_targetsConfirmedAt;
+    reading_schedule m_targetReads;
+    missing_target_guard m_guard;
+    bool m_isStoreLost = false;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/http/listener.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "core/time.hpp"
+#include "http/message.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace flamingofield {
+
+/// Bounds on one client connection.
+struct connection_limits
+{
+    std::size_t headerBytes = 16384;
+    std::size_t bodyBytes = 8U << 20U;
+    milliseconds headerTimeout{3000}; ///< For the head, from its first byte.
+    milliseconds bodyTimeout{15000}; ///< For the body, after the head.
+    milliseconds idleTimeout{15000}; ///< Between requests.
+};
+
+/// A request that waits for its answer. The listener holds it until one of the two ends.
+class pending_request
+{
+public:
+    virtual ~pending_request() = default;
+
+    /// Sends the answer; later calls have no effect.
+    virtual void answer(const http_exchange_answer &answer) = 0;
+
+    /// Called once if the client leaves before its answer.
+    virtual void whenClientLeaves(std::function<void()> handler) = 0;
+
+    virtual const http_exchange_request &request() const = 0;
+};
+
+/// Accepts connections and reads whole requests from them, on the event loop. Knows no route and no target.
+class listener
+{
+public:
+    using handler = std::function<void(const std::shared_ptr<pending_request> &)>;
+    using limits_source = std::function<connection_limits()>;
+
+    listener(boost::asio::io_context &loop, limits_source limits, handler onRequest);
+    ~listener();
+    listener(const listener &) = delete;
+    listener &operator=(const listener &) = delete;
+
+    /// Binds and listens.
+    /// @return an error of step "listen" if the address is taken
+    result<void> start(const endpoint &address);
+
+    /// From now on connections are closed after their answer.
+    void beginDraining();
+
+    /// Accepts no more connections and closes those without a request.
+    void stopAccepting();
+
+    /// Closes connections whose time is over; to be called some times a second.
+    void tick(instant now);
+
+    /// Requests without an answer.
+    std::size_t pending() const;
+    std::size_t connections() const;
+
+private:
+    struct shared_state;
+    class session;
+
+    void accept();
+
+    std::shared_ptr<shared_state> m_state;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/http/message.cpp
@@ -0,0 +1,121 @@
+#include "http/message.hpp"
+
+#include <ostream> // The next header uses streams without including them.
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace flamingofield {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> hopByHopNames{
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade"};
+
+void appendFields(std::string &bytes, const header_fields &fields)
+{
+    for (const auto &[name, value] : fields.all()) {
+        bytes.append(name).append(": ").append(value).append("\r\n");
+    }
+}
+
+bool mayHaveBody(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+} // namespace
+
+bool isSameName(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+void header_fields::add(std::string_view name, std::string_view value)
+{
+    m_fields.emplace_back(name, value);
+}
+
+void header_fields::set(std::string_view name, std::string_view value)
+{
+    remove(name);
+    add(name, value);
+}
+
+void header_fields::remove(std::string_view name)
+{
+    m_fields.erase(std::remove_if(m_fields.begin(), m_fields.end(), [&](const field &f) { return isSameName(f.first, name); }),
+                   m_fields.end());
+}
+
+std::string_view header_fields::value(std::string_view name) const
+{
+    const auto found = std::find_if(m_fields.begin(), m_fields.end(), [&](const field &f) { return isSameName(f.first, name); });
+    return found == m_fields.end() ? std::string_view() : std::string_view(found->second);
+}
+
+bool header_fields::has(std::string_view name) const
+{
+    return std::any_of(m_fields.begin(), m_fields.end(), [&](const field &f) { return isSameName(f.first, name); });
+}
+
+void header_fields::removeHopByHop()
+{
+    std::vector<std::string> named;
+    for (const auto &[name, value] : m_fields) {
+        if (isSameName(name, "Connection")) {
+            for (const auto &token : boost::beast::http::token_list(value)) {
+                named.emplace_back(token);
+            }
+        }
+    }
+    for (const auto &name : named) {
+        remove(name);
+    }
+    for (const auto name : hopByHopNames) {
+        remove(name);
+    }
+}
+
+std::string serialize(const http_exchange_request &request)
+{
+    std::string bytes;
+    bytes.reserve(request.body.size() + 512);
+    bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    appendFields(bytes, request.fields);
+    const bool namesLength = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
+    if (namesLength) {
+        bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    }
+    bytes.append("\r\n").append(request.body);
+    return bytes;
+}
+
+std::string serialize(const http_exchange_answer &answer, answer_framing framing)
+{
+    std::string bytes;
+    bytes.reserve(answer.body.size() + 512);
+    const auto standard = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(static_cast<unsigned>(answer.status)));
+    bytes.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ");
+    bytes.append(answer.reason.empty() ? std::string(standard) : answer.reason).append("\r\n");
+    appendFields(bytes, answer.fields);
+    const bool lengthIsKept = framing.isHead && answer.fields.has("Content-Length");
+    if (mayHaveBody(answer.status) && !lengthIsKept) {
+        bytes.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
+    }
+    if (framing.closes) {
+        bytes.append("Connection: close\r\n");
+    }
+    bytes.append("\r\n");
+    if (!framing.isHead && mayHaveBody(answer.status)) {
+        bytes.append(answer.body);
+    }
+    return bytes;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/mesh/member_table.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "mesh/mesh_message.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace flamingofield {
+
+/// A known node of the fleet.
+struct member_row
+{
+    mesh_member member;
+    bool isLeaving = false;
+    instant heardAt{}; ///< When the member itself last spoke, as far as this node or whoever told it knows.
+    instant sentAt{}; ///< Last message to it.
+};
+
+/// Nodes of the fleet and who speaks to whom.
+///
+/// In each data centre the first few live nodes by a fixed order are hubs. Callers are directed to hubs, so that a few
+/// nodes see enough work to judge targets and share slots; all other nodes stay ready as their replacements. Hubs speak to
+/// all hubs and to the nodes of their own data centre; others speak to their own hubs. Messages between data centres,
+/// which users pay for, therefore grow with the number of hubs alone. No network, no clock.
+class member_table
+{
+public:
+    /// Members unheard of for this long are taken for dead; several lost datagrams in a row.
+    static constexpr milliseconds memberLease{1300};
+
+    member_table(mesh_member self, std::vector<node_address> seeds);
+
+    void setReady(bool isReady);
+
+    /// Takes up a message's sender and the members that it tells.
+    /// @return true if the sender was dead or unknown before
+    bool heard(const mesh_message &message, instant now);
+
+    /// Live hubs of a data centre, first in order first.
+    std::vector<node_address> hubs(const std::string &dataCentre, instant now) const;
+
+    /// Live hubs of all data centres that are ready for callers.
+    std::vector<mesh_member> readyHubs(instant now) const;
+
+    bool isHub(instant now) const;
+
+    /// True for the one node of its data centre that reads the store for the others.
+    bool isReader(instant now) const;
+
+    /// Position of this node among the live ones of its data centre.
+    std::size_t rank(instant now) const;
+
+    /// Addresses to which a message is due; they count as sent.
+    /// @param isBusy this node has requests in flight, of which the hubs must know
+    std::vector<node_address> takeDue(bool isBusy, instant now);
+
+    /// Makes messages to all live hubs and to the own data centre due at once.
+    void hurry();
+
+    /// Members to tell to a recipient in the own data centre, or to one elsewhere.
+    std::vector<mesh_member> membersToTell(bool toOwnDataCentre, instant now) const;
+
+    bool isInOwnDataCentre(node_address address) const;
+
+    const mesh_member &self() const
+    {
+        return m_self;
+    }
+
+    std::size_t live(instant now) const;
+
+private:
+    /// Part of a data centre's nodes that are hubs.
+    static constexpr double hubShare = 0.18;
+    static constexpr std::size_t leastHubs = 2;
+    /// Members told at most; bounds a datagram.
+    static constexpr std::size_t mostMembersTold = 64;
+
+    bool isLive(const member_row &row, instant now) const;
+    std::vector<const mesh_member *> liveIn(const std::string &dataCentre, instant now) const;
+    std::set<node_address> allHubs(instant now) const;
+    duration intervalTo(const member_row &row, bool otherIsHub, bool selfIsHub, bool isBusy, instant now) const;
+
+    mesh_member m_self;
+    std::vector<node_address> m_seeds;
+    std::map<node_address, member_row> m_rows;
+    std::map<node_address, instant> m_seedSentAt;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -0,0 +1,230 @@
+#include "mesh/mesh_message.hpp"
+
+#include <msgpack.hpp>
+
+namespace flamingofield {
+
+namespace {
+
+/// First element of each message; changes with its layout.
+constexpr int messageFormat = 1;
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+/// Reads the elements of one array in their order; throws msgpack::type_error when they do not fit.
+class array_reader
+{
+public:
+    explicit array_reader(const msgpack::object &object)
+    {
+        if (object.type != msgpack::type::ARRAY) {
+            throw msgpack::type_error();
+        }
+        m_elements = object.via.array;
+    }
+
+    std::uint32_t size() const
+    {
+        return m_elements.size;
+    }
+
+    const msgpack::object &next()
+    {
+        if (m_position >= m_elements.size) {
+            throw msgpack::type_error();
+        }
+        return m_elements.ptr[m_position++];
+    }
+
+    template<typename T> T as()
+    {
+        return next().as<T>();
+    }
+
+private:
+    msgpack::object_array m_elements{};
+    std::uint32_t m_position = 0;
+};
+
+void pack(packer &out, const mesh_member &member)
+{
+    out.pack_array(5);
+    out.pack(member.address).pack(member.dataCentre).pack(member.incarnation).pack(member.isReady).pack(member.ageMs);
+}
+
+mesh_member unpackMember(const msgpack::object &object)
+{
+    array_reader in(object);
+    mesh_member member;
+    member.address = in.as<node_address>();
+    member.dataCentre = in.as<std::string>();
+    member.incarnation = in.as<std::uint64_t>();
+    member.isReady = in.as<bool>();
+    member.ageMs = in.as<std::uint32_t>();
+    return member;
+}
+
+void pack(packer &out, const mesh_knowledge &knowledge)
+{
+    out.pack_array(6);
+    out.pack(knowledge.config.version).pack(knowledge.config.revision);
+    out.pack(knowledge.targetsRevision).pack(knowledge.targetsDigest).pack(knowledge.targetsAgeMs).pack(knowledge.configAgeMs);
+}
+
+mesh_knowledge unpackKnowledge(const msgpack::object &object)
+{
+    array_reader in(object);
+    mesh_knowledge knowledge;
+    knowledge.config.version = in.as<std::uint64_t>();
+    knowledge.config.revision = in.as<std::uint64_t>();
+    knowledge.targetsRevision = in.as<std::uint64_t>();
+    knowledge.targetsDigest = in.as<std::uint64_t>();
+    knowledge.targetsAgeMs = in.as<std::uint32_t>();
+    knowledge.configAgeMs = in.as<std::uint32_t>();
+    return knowledge;
+}
+
+void pack(packer &out, const told_target &target)
+{
+    out.pack_array(5);
+    out.pack(target.key).pack(target.inFlight).pack(target.goodAnswers).pack(target.badAnswers).pack(target.overdueAnswers);
+}
+
+told_target unpackTold(const msgpack::object &object)
+{
+    array_reader in(object);
+    told_target target;
+    target.key = in.as<std::uint64_t>();
+    target.inFlight = in.as<std::uint16_t>();
+    target.goodAnswers = in.as<std::uint32_t>();
+    target.badAnswers = in.as<std::uint32_t>();
+    target.overdueAnswers = in.as<std::uint32_t>();
+    return target;
+}
+
+void pack(packer &out, const mesh_retries &row)
+{
+    out.pack_array(3);
+    out.pack(row.service).pack(row.counts.requests).pack(row.counts.repeats);
+}
+
+mesh_retries unpackRetries(const msgpack::object &object)
+{
+    array_reader in(object);
+    mesh_retries row;
+    row.service = in.as<std::string>();
+    row.counts.requests = in.as<std::uint32_t>();
+    row.counts.repeats = in.as<std::uint32_t>();
+    return row;
+}
+
+void pack(packer &out, const target_entry &target)
+{
+    out.pack_array(9);
+    out.pack(target.id).pack(target.service).pack(target.address.host).pack(target.address.port).pack(target.dataCentre);
+    out.pack(target.slots).pack(target.isDraining).pack(target.startedAtMs).pack(static_cast<std::int64_t>(target.coldFor.count()));
+}
+
+target_entry unpackTarget(const msgpack::object &object)
+{
+    array_reader in(object);
+    target_entry target;
+    target.id = in.as<std::string>();
+    target.service = in.as<std::string>();
+    target.address.host = in.as<std::string>();
+    target.address.port = in.as<std::uint16_t>();
+    target.dataCentre = in.as<std::string>();
+    target.slots = in.as<int>();
+    target.isDraining = in.as<bool>();
+    target.startedAtMs = in.as<std::int64_t>();
+    target.coldFor = milliseconds(in.as<std::int64_t>());
+    return target;
+}
+
+template<typename Rows> void packRows(packer &out, const Rows &rows)
+{
+    out.pack_array(static_cast<std::uint32_t>(rows.size()));
+    for (const auto &row : rows) {
+        pack(out, row);
+    }
+}
+
+template<typename Row> std::vector<Row> unpackRows(const msgpack::object &object, Row (*unpack)(const msgpack::object &))
+{
+    array_reader in(object);
+    std::vector<Row> rows;
+    for (std::uint32_t i = 0; i < in.size(); ++i) {
+        rows.push_back(unpack(in.next()));
+    }
+    return rows;
+}
+
+/// Runs a decoder on the bytes; what does not fit becomes an error instead of an exception.
+template<typename Decoder> auto decodeWith(std::string_view bytes, Decoder decoder) -> result<decltype(decoder(msgpack::object()))>
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        return decoder(handle.get());
+    } catch (const std::exception &failure) { // msgpack reports all malformed input by exceptions
+        return error{"decode peer message", std::to_string(bytes.size()) + " bytes", failure.what()};
+    }
+}
+
+} // namespace
+
+std::string encode(const mesh_message &message)
+{
+    msgpack::sbuffer buffer;
+    packer out(buffer);
+    out.pack_array(8);
+    out.pack(messageFormat);
+    pack(out, message.sender);
+    out.pack(message.isLeaving).pack(message.wantsReply);
+    pack(out, message.knowledge);
+    packRows(out, message.members);
+    packRows(out, message.targets);
+    packRows(out, message.retries);
+    return {buffer.data(), buffer.size()};
+}
+
+result<mesh_message> decodeMeshMessage(std::string_view bytes)
+{
+    return decodeWith(bytes, [](const msgpack::object &object) {
+        array_reader in(object);
+        if (in.as<int>() != messageFormat) {
+            throw msgpack::type_error();
+        }
+        mesh_message message;
+        message.sender = unpackMember(in.next());
+        message.isLeaving = in.as<bool>();
+        message.wantsReply = in.as<bool>();
+        message.knowledge = unpackKnowledge(in.next());
+        message.members = unpackRows(in.next(), unpackMember);
+        message.targets = unpackRows(in.next(), unpackTold);
+        message.retries = unpackRows(in.next(), unpackRetries);
+        return message;
+    });
+}
+
+std::string encode(const target_snapshot &snapshot)
+{
+    msgpack::sbuffer buffer;
+    packer out(buffer);
+    out.pack_array(2);
+    out.pack(snapshot.revision);
+    packRows(out, snapshot.targets);
+    return {buffer.data(), buffer.size()};
+}
+
+result<target_snapshot> decodeTargetSnapshot(std::string_view bytes)
+{
+    return decodeWith(bytes, [](const msgpack::object &object) {
+        array_reader in(object);
+        target_snapshot snapshot;
+        snapshot.revision = in.as<std::uint64_t>();
+        snapshot.targets = unpackRows(in.next(), unpackTarget);
+        return snapshot;
+    });
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/relay/relay.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "balance/retry_ledger.hpp"
+#include "balance/target_table.hpp"
+#include "balance/waiting_line.hpp"
+#include "balance/work_estimate.hpp"
+#include "http/exchange.hpp"
+#include "http/listener.hpp"
+#include "relay/relay_metrics.hpp"
+#include "route/forwarding_config.hpp"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingofield {
+
+/// Header names between callers, nodes and backend servers.
+struct relay_field_names
+{
+    std::string requestId;
+    std::string deadlineMs; ///< Time that the sender will wait, in milliseconds.
+    std::string seal; ///< On each whole answer of a backend server.
+    std::string expectedTarget; ///< Id of the backend server that alone may run the request.
+    std::string serverLoad; ///< Running, waiting and slots, separated by commas.
+    std::string notExecuted; ///< On answers to requests that did not run.
+};
+
+/// A configuration with its index, shared by the requests that began under it.
+struct active_config
+{
+    forwarding_config config;
+    host_router router;
+    instant confirmedAt{}; ///< When it was taken up.
+};
+
+/// This node's part of the fleet.
+struct fleet_share
+{
+    double share = 1.0; ///< Of the fleet's requests.
+    std::size_t nodes = 1; ///< That may send requests to the same targets.
+};
+
+/// The way of a request: match, admit, choose a target, send, judge the outcome, send again or answer.
+class relay
+{
+public:
+    relay(boost::asio::io_context &loop, relay_field_names names, target_table &targets, retry_ledger &retries,
+          connection_pool &connections, relay_metrics &metrics);
+    ~relay();
+    relay(const relay &) = delete;
+    relay &operator=(const relay &) = delete;
+
+    void setConfig(std::shared_ptr<const active_config> config);
+    void setShare(fleet_share share);
+    void setTargetsAge(duration age);
+
+    void handle(const std::shared_ptr<pending_request> &pending);
+
+    /// Ends what has run out of time and gives free slots to waiting requests.
+    void tick(instant now);
+
+    /// Refuses all further requests.
+    void refuseNew();
+
+    /// Answers what is still in flight, at the end of the process.
+    void abandonAll();
+
+    std::size_t inFlight() const;
+    std::size_t waiting() const;
+
+private:
+    struct request_row;
+    using request_map = std::unordered_map<std::uint64_t, std::unique_ptr<request_row>>;
+
+    void admit(request_row &row, instant now);
+    bool trySend(request_row &row, instant now, bool isWaiting);
+    void send(request_row &row, const target_choice &choice, instant now);
+    http_exchange_request outbound(const request_row &row, const target_entry &target, instant now) const;
+    void exchangeEnded(std::uint64_t serial, std::uint64_t targetKey, exchange_result result);
+    void judgeAnswer(request_row &row, target_row *target, exchange_result &result, duration taken, instant now);
+    void afterFailure(request_row &row, bool didRun, http_exchange_answer answer, std::string_view reason, instant now);
+    bool maySendAgain(request_row &row, bool wasSent, instant now);
+    void sendAgain(request_row &row, instant now);
+    void wait(request_row &row, instant now);
+    void pump(const std::string &service, instant now);
+    void deliver(request_row &row, const http_exchange_answer &answer, std::string_view outcome, instant now);
+    void refuse(request_row &row, int status, std::string_view reason, duration retryAfter, instant now);
+    void fail(request_row &row, int status, std::string_view reason, instant now);
+    void clientLeft(std::uint64_t serial);
+    void finish(request_row &row);
+    void checkTime(request_row &row, instant now);
+    service_capacity capacityOf(const std::string &service) const;
+    duration usualWorkOf(const request_row &row) const;
+    target_query queryFor(const request_row &row, instant now) const;
+
+    boost::asio::io_context &m_loop;
+    relay_field_names m_names;
+    target_table &m_targets;
+    retry_ledger &m_retries;
+    connection_pool &m_connections;
+    relay_metrics &m_metrics;
+    std::shared_ptr<const active_config> m_config;
+    fleet_share m_share;
+    duration m_targetsAge{};
+    work_estimate m_work;
+    std::unordered_map<std::string, waiting_line> m_lines;
+    request_map m_requests;
+    std::uint64_t m_nextSerial = 1;
+    std::mt19937_64 m_random;
+    bool m_refusesNew = false;
+};
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/relay/relay_metrics.cpp
@@ -0,0 +1,74 @@
+#include "relay/relay_metrics.hpp"
+
+#include <sstream>
+
+namespace flamingofield {
+
+namespace {
+
+/// Label sets beyond this many are counted together, so that routes and services cannot exhaust memory.
+constexpr std::size_t mostLabelSets = 2000;
+constexpr double secondsPerMillisecond = 0.001;
+
+std::string braced(const std::string &labels)
+{
+    return labels.empty() ? std::string() : "{" + labels + "}";
+}
+
+void writeHistogram(std::ostream &out, const std::string &name, const std::string &labels, const latency_histogram &histogram)
+{
+    const std::string separator = labels.empty() ? "" : ",";
+    const auto counts = histogram.counts();
+    const auto edges = latency_histogram::upperEdgesMs();
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        sum += counts[i];
+        if (i < edges.size() && counts[i] > 0) {
+            out << name << "_bucket{" << labels << separator << "le=\"" << edges[i] * secondsPerMillisecond << "\"} " << sum << "\n";
+        }
+    }
+    out << name << "_bucket{" << labels << separator << "le=\"+Inf\"} " << sum << "\n";
+    out << name << "_count" << braced(labels) << " " << sum << "\n";
+}
+
+} // namespace
+
+void relay_metrics::count(std::string_view name, std::string_view labels, std::uint64_t amount)
+{
+    key entry{std::string(name), std::string(labels)};
+    if (m_counters.size() >= mostLabelSets && m_counters.count(entry) == 0) {
+        entry.second = "other=\"true\"";
+    }
+    m_counters[entry] += amount;
+}
+
+void relay_metrics::gauge(std::string_view name, std::string_view labels, double value)
+{
+    m_gauges[{std::string(name), std::string(labels)}] = value;
+}
+
+void relay_metrics::latency(std::string_view name, std::string_view labels, duration taken)
+{
+    key entry{std::string(name), std::string(labels)};
+    if (m_latencies.size() >= mostLabelSets && m_latencies.count(entry) == 0) {
+        entry.second = "other=\"true\"";
+    }
+    m_latencies[entry].add(taken);
+}
+
+std::string relay_metrics::text() const
+{
+    std::ostringstream out;
+    for (const auto &[name, value] : m_counters) {
+        out << name.first << braced(name.second) << " " << value << "\n";
+    }
+    for (const auto &[name, value] : m_gauges) {
+        out << name.first << braced(name.second) << " " << value << "\n";
+    }
+    for (const auto &[name, histogram] : m_latencies) {
+        writeHistogram(out, name.first, name.second, histogram);
+    }
+    return out.str();
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/store/reading_schedule.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/time.hpp"
+
+namespace flamingofield {
+
+/// When one kind of store content is read: by the data centre's reader at a steady pace, and by any other node only when
+/// it has had no fresh news from a reader. Few calls while all is well; no dependence on a reader that is cut off.
+class reading_schedule
+{
+public:
+    struct pace
+    {
+        milliseconds readerInterval; ///< Between two reads of the reader.
+        milliseconds staleAfter; ///< Age of the news after which a node reads by itself.
+        milliseconds rankDelay; ///< Added for each place behind the reader, so that the next one steps in first.
+        milliseconds firstRetry; ///< After a failed read.
+        milliseconds lastRetry; ///< Longest pause between failed reads; each pause doubles.
+    };
+
+    explicit reading_schedule(const pace &p)
+        : m_pace(p)
+    {
+    }
+
+    /// @param age of the newest confirmation, from own reads or peers; the time since the start if there was none
+    /// @param rank place of this node in its data centre, the reader has 0
+    bool isDue(std::size_t rank, duration age, instant now) const;
+
+    void started(instant now);
+    void succeeded(instant now);
+    void failed(instant now);
+
+private:
+    pace m_pace;
+    bool m_isRunning = false;
+    int m_failures = 0;
+    instant m_startedAt{};
+    instant m_notBefore{};
+};
+
+} // namespace flamingofield
