Weigh waiting against free sick targets; try unused targets only where too many are unused

Change: a request waits when a busy target promises more than the free ones; an undisturbed target that nobody has used for 1.2 s (idempotent) or 1.6 s goes first if more than three tenths of the undisturbed ones are unused; failure answers are told to hubs at once; members are listed to other data centres once a second.

--- a/src/flamingofield/balance/health_filter.hpp
+++ b/src/flamingofield/balance/health_filter.hpp
@@ -11,10 +11,10 @@
     double whenSound; ///< Probability of the observation at a sound target.
 };
 
-/// A target's own failure answer. Sick targets fail most of their requests, sound ones about one in eighty.
-constexpr evidence_weight failedAnswer{0.7, 0.02};
+/// A target's own failure answer. Gray phases fail between a third and all of the requests, sound targets one in eighty.
+constexpr evidence_weight failedAnswer{0.55, 0.02};
 /// A success.
-constexpr evidence_weight goodAnswer{0.3, 0.98};
+constexpr evidence_weight goodAnswer{0.45, 0.98};
 /// A request that has taken several times its route's usual time. Long work happens, so it weighs less than a failure.
 constexpr evidence_weight overdueAnswer{0.45, 0.03};
 /// The same, seen by another node; the path between the two may be at fault instead of the target.
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -17,12 +17,21 @@
 constexpr milliseconds shedRest{120};
 /// Changes are told for this long, so that lost datagrams are made up for.
 constexpr milliseconds tellTime{1500};
-/// A target that takes less than this share of the best expected worth is not used while better ones are busy.
-constexpr double leastShareOfBest = 0.55;
-/// The same for idempotent requests, which are the cheaper trials of a suspected target.
-constexpr double leastShareOfBestIdempotent = 0.4;
+/// Of a sick target's requests, the part that fails.
+constexpr double sickFailureShare = 0.65;
 /// Expected worth lost to traffic between data centres, as a share of a request's worth.
-constexpr double remotePenalty = 0.03;
+constexpr double remotePenalty = 0.06;
+/// A request waits rather than take a free target whose expected worth is lower than that of waiting by more than this.
+constexpr double impatience = 0.04;
+/// A target that nobody used for this long gets the next request if too many are unused; below the two seconds within which
+/// most targets of a service must see work.
+constexpr milliseconds trialInterval{1600};
+/// The same for idempotent requests, the cheaper trials, which therefore come first.
+constexpr milliseconds trialIntervalIdempotent{1200};
+/// Part of a service's undisturbed targets that may stay unused, the sickest first; the platform asks for seven tenths in use.
+constexpr double unusedShare = 0.3;
+/// A target counts as undisturbed after this time; twice the time after which the platform takes a machine for stable.
+constexpr milliseconds disturbanceTime{6000};
 /// Prefers emptier targets; small against the differences that health makes.
 constexpr double loadPenalty = 0.06;
 /// Worth of an answer that misses its aim.
@@ -57,7 +66,6 @@
         }
         if (isNew) {
             row.key = key;
-            row.joinedAt = now;
             row.coldUntil = now + entry.coldFor;
         }
         row.entry = entry;
@@ -103,29 +111,56 @@
     return std::max(row.own + others, reported);
 }
 
-double target_table::utilityOf(const target_row &row, const target_query &query, int inFlightThere, instant now) const
+/// A target that may take the request, with what is believed of it now.
+struct target_table::candidate
+{
+    target_row *row = nullptr;
+    double sickness = 0.0;
+    int inFlight = 0;
+    bool isFree = false;
+};
+
+double target_table::utilityOf(const target_row &row, const target_query &query, double load, duration delay, instant now) const
 {
     const double sickness = row.health.sickness(now);
     const double pathSickness = row.path.sickness(now);
-    const double success = (1.0 - sickness * failedAnswer.whenSick) * (1.0 - pathSickness * brokenConnection.whenSick);
-    double slowness = row.slowness.ratio(now);
-    if (now < row.coldUntil) {
-        slowness = std::max(slowness, coldSlowness);
-    }
-    const int ahead = std::max(0, inFlightThere + 1 - row.entry.slots);
-    const double work = toSeconds(query.usualWork) * slowness;
-    const double expected = work * (1.0 + static_cast<double>(ahead) / std::max(1, row.entry.slots));
+    const double success = (1.0 - sickness * sickFailureShare) * (1.0 - pathSickness * brokenConnection.whenSick);
+    const double slowness = std::max(row.slowness.ratio(now), now < row.coldUntil ? coldSlowness : 0.0);
+    const double expected = std::max(0.001, toSeconds(query.usualWork) * slowness);
     // Work times vary widely, so the chance to be in time falls smoothly with the expected time.
     const auto chanceWithin = [&](duration left) {
-        const double ratio = toSeconds(left) / std::max(0.001, expected);
+        const double ratio = toSeconds(left - delay) / expected;
         return ratio <= 0.0 ? 0.0 : 1.0 - std::exp(-ratio);
     };
     const double inTime = chanceWithin(query.aimLeft);
     const double atAll = chanceWithin(query.timeLeft);
     const double worth = inTime + lateShare * std::max(0.0, atAll - inTime);
-    const double load = loadPenalty * static_cast<double>(inFlightThere) / std::max(1, row.entry.slots);
     const double distance = row.entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
-    return success * worth - load - distance;
+    return success * worth - loadPenalty * load - distance;
+}
+
+std::vector<target_table::candidate> target_table::candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys,
+                                                                 instant now)
+{
+    std::vector<candidate> candidates;
+    for (const std::uint64_t key : keys) {
+        target_row &row = m_rows.at(key);
+        const bool isExcluded
+            = query.excluded != nullptr && std::find(query.excluded->begin(), query.excluded->end(), row.entry.id) != query.excluded->end();
+        if (!isExcluded) {
+            const int there = inFlight(row, now);
+            candidates.push_back({&row, row.health.sickness(now), there, there < row.entry.slots && now >= row.restUntil});
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) { return a.sickness > b.sickness; });
+    return candidates;
+}
+
+std::size_t target_table::mayStayUnused(const std::vector<candidate> &candidates, instant now) const
+{
+    const auto undisturbed = std::count_if(candidates.begin(), candidates.end(),
+                                           [&](const candidate &each) { return now - each.row->disturbedAt > disturbanceTime; });
+    return static_cast<std::size_t>(unusedShare * static_cast<double>(undisturbed));
 }
 
 std::optional<target_choice> target_table::choose(const target_query &query, instant now)
@@ -135,38 +170,55 @@
         return std::nullopt;
     }
     ++m_choices;
+    const auto candidates = candidatesFor(query, keys->second, now);
+    const duration interval = query.mayRepeat ? trialIntervalIdempotent : trialInterval;
+    // From the sickest to the soundest, the first few undisturbed ones without work are let be.
+    std::size_t unusedLeft = mayStayUnused(candidates, now);
     target_choice best;
-    double bestOfAll = 0.0;
     double bestOrder = -2.0;
+    double bestWaiting = 0.0;
     int freeSlots = 0;
-    for (const std::uint64_t key : keys->second) {
-        target_row &row = m_rows.at(key);
-        if (query.excluded != nullptr && std::find(query.excluded->begin(), query.excluded->end(), row.entry.id) != query.excluded->end()) {
+    for (const candidate &each : candidates) {
+        const int slots = std::max(1, each.row->entry.slots);
+        if (!each.isFree) {
+            const auto slotFrees = std::chrono::duration_cast<duration>(query.usualWork * each.row->slowness.ratio(now) / slots);
+            bestWaiting = std::max(bestWaiting, utilityOf(*each.row, query, 1.0, query.lineWait + slotFrees, now));
             continue;
         }
-        const int there = inFlight(row, now);
-        const double utility = utilityOf(row, query, std::min(there, row.entry.slots - 1), now);
-        bestOfAll = std::max(bestOfAll, utility);
-        if (there >= row.entry.slots || now < row.restUntil) {
-            continue;
+        freeSlots += slots - each.inFlight;
+        const double load = static_cast<double>(each.inFlight) / slots;
+        const double utility = utilityOf(*each.row, query, load, duration::zero(), now);
+        bool isTrial = now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > interval;
+        if (isTrial && unusedLeft > 0) {
+            --unusedLeft;
+            isTrial = false;
         }
-        freeSlots += row.entry.slots - there;
         // Each node breaks ties in its own order, so that nodes with the same view do not meet at one target.
         constexpr double tieBreak = 0.02;
-        const double order = utility + tieBreak * static_cast<double>(hashOf(row.entry.id, m_seed + m_choices) >> 11U) / 9007199254740992.0;
+        constexpr double hashRange = 9007199254740992.0;
+        const double order = utility + (isTrial ? 1.0 : 0.0)
+            + tieBreak * static_cast<double>(hashOf(each.row->entry.id, m_seed + m_choices) >> 11U) / hashRange;
         if (order > bestOrder) {
             bestOrder = order;
-            best = {&row, utility, row.health.sickness(now), row.slowness.ratio(now), there, 0};
+            best = {each.row, utility, each.sickness, each.row->slowness.ratio(now), each.inFlight, 0, isTrial};
         }
     }
     best.freeSlots = freeSlots;
-    const double least = query.mayRepeat ? leastShareOfBestIdempotent : leastShareOfBest;
-    if (best.row == nullptr || freeSlots <= query.reservedSlots || best.utility < least * bestOfAll) {
+    const bool isWorthWaiting = !best.isTrial && best.utility + impatience < bestWaiting;
+    if (best.row == nullptr || freeSlots <= query.reservedSlots || isWorthWaiting) {
         return std::nullopt;
     }
+    best.row->usedAt = now;
     return best;
 }
 
+bool target_table::takeUrgentNews()
+{
+    const bool hadNews = m_hasUrgentNews;
+    m_hasUrgentNews = false;
+    return hadNews;
+}
+
 void target_table::started(target_row &row)
 {
     ++row.own;
@@ -186,12 +238,14 @@
         row.health.observe(failedAnswer, now);
         row.path.observe(goodAnswer, now);
         ++row.badAnswers;
+        m_hasUrgentNews = true;
         break;
     case target_outcome::shed:
         row.restUntil = now + shedRest;
         break;
     case target_outcome::broken:
         row.path.observe(brokenConnection, now);
+        row.disturbedAt = now;
         break;
     case target_outcome::cancelled:
         break;
@@ -202,6 +256,7 @@
 void target_table::overdue(target_row &row, instant now)
 {
     row.health.observe(overdueAnswer, now);
+    row.disturbedAt = now;
     ++row.overdueAnswers;
     row.toldAt = now;
 }
@@ -228,6 +283,9 @@
         if (target == nullptr || isFirst) {
             continue;
         }
+        if (row.inFlight > before.inFlight || row.goodAnswers != before.goodAnswers || row.badAnswers != before.badAnswers) {
+            target->usedAt = now;
+        }
         constexpr std::uint32_t mostAtOnce = 8;
         const auto repeat = [&](std::uint32_t newer, std::uint32_t older, evidence_weight weight) {
             const std::uint32_t times = newer > older ? std::min(newer - older, mostAtOnce) : 0;
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -38,7 +38,8 @@
     bool isPresent = true; ///< In the newest snapshot; absent rows stay until their requests have ended.
     instant coldUntil{};
     instant restUntil{}; ///< After it shed a request, no new one before this time.
-    instant joinedAt{};
+    instant disturbedAt{}; ///< Last broken, unsound or overdue exchange; failure answers are no disturbance.
+    instant usedAt{}; ///< Last time that any node is known to have sent it a request.
     int own = 0; ///< Requests of this node at the target.
     load_report load;
     health_filter health; ///< From answers, own and told.
@@ -68,6 +69,7 @@
     duration timeLeft{}; ///< Until the caller gives up.
     duration aimLeft{}; ///< Until an answer loses most of its worth; may be negative.
     bool mayRepeat = false;
+    duration lineWait{}; ///< Expected wait behind the requests that wait already.
     const std::vector<std::string> *excluded = nullptr; ///< Ids that already had the request.
     int reservedSlots = 0; ///< Free slots of the service that more urgent work keeps.
 };
@@ -81,6 +83,7 @@
     double slowness = 1.0;
     int inFlight = 0;
     int freeSlots = 0; ///< Of the whole service before this request.
+    bool isTrial = false; ///< Chosen because nobody has used it for a while.
 };
 
 /// Table of all targets; the functions that decide where work goes read it. No network, no clock.
@@ -95,12 +98,18 @@
     /// @return ids that came, left or began to drain
     std::vector<std::string> apply(const target_snapshot &snapshot, instant now);
 
-    /// Target with the best expected outcome that has a free slot. None if waiting promises more.
+    /// Target with the best expected outcome that has a free slot. None if waiting for a better one promises more.
+    ///
+    /// Of the targets without a disturbance, most keep getting work whatever is believed of them: one that nobody has used
+    /// for a while goes first, unless it is among the few sickest.
     std::optional<target_choice> choose(const target_query &query, instant now);
 
     void started(target_row &row);
     void finished(target_row &row, target_outcome outcome, duration taken, duration usualWork, instant now);
 
+    /// True if what is told has changed so much since the last call that peers should hear at once.
+    bool takeUrgentNews();
+
     /// Counts a request that has been running for several times the usual time, once.
     void overdue(target_row &row, instant now);
 
@@ -133,12 +142,17 @@
         instant heardAt{};
     };
 
-    double utilityOf(const target_row &row, const target_query &query, int inFlightThere, instant now) const;
+    struct candidate;
+
+    std::size_t mayStayUnused(const std::vector<candidate> &candidates, instant now) const;
+    std::vector<candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
+    double utilityOf(const target_row &row, const target_query &query, double load, duration delay, instant now) const;
     void removeEnded();
 
     std::string m_dataCentre;
     std::uint64_t m_seed;
     std::uint64_t m_choices = 0;
+    bool m_hasUrgentNews = false;
     std::unordered_map<std::uint64_t, target_row> m_rows;
     std::unordered_map<std::string, std::vector<std::uint64_t>> m_byService;
     std::map<std::uint64_t, peer_counts> m_peers;
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t enoughNearHubs = 2;
 constexpr std::size_t mostAddresses = 64;
 constexpr milliseconds peerFetchTimeout{600};
+/// Pace at which members are listed to other data centres.
+constexpr milliseconds farMembersInterval{1000};
 
 node_address toNodeAddress(const std::string &text)
 {
@@ -222,6 +224,9 @@
 
     void tellPeers(instant now)
     {
+        if (m_targets.takeUrgentNews()) {
+            m_members.hurryToHubs(now);
+        }
         const auto due = m_members.takeDue(m_relay.inFlight() > 0, now);
         if (due.empty()) {
             return;
@@ -241,7 +246,10 @@
             const bool isNear = m_members.isInOwnDataCentre(address) || message.wantsReply;
             std::string &bytes = isNear ? near : far;
             if (bytes.empty()) {
-                message.members = m_members.membersToTell(isNear, now);
+                // Hubs elsewhere hear each other directly; the list is only for those that miss some.
+                const bool tellsMembers = isNear || now - m_toldFarAt >= farMembersInterval;
+                m_toldFarAt = !isNear && tellsMembers ? now : m_toldFarAt;
+                message.members = tellsMembers ? m_members.membersToTell(isNear, now) : std::vector<mesh_member>();
                 bytes = encode(message);
             }
             m_mesh.send({toText(address), m_settings.meshPort}, bytes);
@@ -419,6 +427,7 @@
     std::size_t m_rank = 0;
     instant m_rolesAt{};
     instant m_connectionsAt{};
+    instant m_toldFarAt{};
     instant m_stoppedAt{};
     instant m_endedAt{};
     bool m_isHub = false;
--- a/src/flamingofield/mesh/member_table.cpp
+++ b/src/flamingofield/mesh/member_table.cpp
@@ -207,6 +207,16 @@
     }
 }
 
+void member_table::hurryToHubs(instant now)
+{
+    for (const node_address address : allHubs(now)) {
+        const auto found = m_rows.find(address);
+        if (found != m_rows.end()) {
+            found->second.sentAt = instant{};
+        }
+    }
+}
+
 std::vector<mesh_member> member_table::membersToTell(bool toOwnDataCentre, instant now) const
 {
     std::vector<mesh_member> told;
--- a/src/flamingofield/mesh/member_table.hpp
+++ b/src/flamingofield/mesh/member_table.hpp
@@ -56,9 +56,12 @@
     /// @param isBusy this node has requests in flight, of which the hubs must know
     std::vector<node_address> takeDue(bool isBusy, instant now);
 
-    /// Makes messages to all live hubs and to the own data centre due at once.
+    /// Makes messages to all known members due at once.
     void hurry();
 
+    /// Makes messages to all live hubs due at once.
+    void hurryToHubs(instant now);
+
     /// Members to tell to a recipient in the own data centre, or to one elsewhere.
     std::vector<mesh_member> membersToTell(bool toOwnDataCentre, instant now) const;
 
--- a/src/flamingofield/relay/relay.cpp
+++ b/src/flamingofield/relay/relay.cpp
@@ -213,6 +213,7 @@
     const auto line = m_lines.find(row.service);
     if (line != m_lines.end()) {
         query.reservedSlots = line->second.reservedSlots(row.route->rank, capacityOf(row.service), now);
+        query.lineWait = line->second.expectedWait(row.route->rank, capacityOf(row.service), now);
     }
     return query;
 }
@@ -314,6 +315,7 @@
               {"slowness", number(choice.slowness)},
               {"in_flight", std::to_string(choice.inFlight)},
               {"free_slots", std::to_string(choice.freeSlots)},
+              {"trial", choice.isTrial ? "yes" : "no"},
               {"waited_ms", milliText(now - row.arrivedAt)},
               {"left_ms", milliText(row.giveUpAt - now)}});
 }
