--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -23,6 +23,12 @@
 constexpr double remotePenalty = 0.06;
 /// A request waits rather than take a free target whose expected worth is lower than that of waiting by more than this.
 constexpr double impatience = 0.04;
+/// A sound target that is not used becomes unknown, and unknown targets fail far more often than those known to be sound.
+/// Using it again in time is worth this much, per second since its last use.
+constexpr double refreshPerSecond = 0.2;
+constexpr double mostRefresh = 0.25;
+/// Sickness from which a target counts as unknown; a sound one reaches it about three seconds after its last success.
+constexpr double unknownSickness = 0.1;
 /// A target that nobody used for this long gets the next request if too many are unused; below the two seconds within which
 /// most targets of a service must see work.
 constexpr milliseconds trialInterval{1600};
@@ -30,6 +36,10 @@
 constexpr milliseconds trialIntervalIdempotent{1200};
 /// Part of a service's undisturbed targets that may stay unused, the sickest first; the platform asks for seven tenths in use.
 constexpr double unusedShare = 0.3;
+/// Slowness above which a target counts as disturbed; work times alone rarely average so far from the usual.
+constexpr double disturbedSlowness = 2.5;
+/// A request that was broken off after this many times the usual work counts as a disturbance.
+constexpr int disturbedDelay = 4;
 /// A target counts as undisturbed after this time; twice the time after which the platform takes a machine for stable.
 constexpr milliseconds disturbanceTime{6000};
 /// Prefers emptier targets; small against the differences that health makes.
@@ -188,7 +198,7 @@
         freeSlots += slots - each.inFlight;
         const double load = static_cast<double>(each.inFlight) / slots;
         const double utility = utilityOf(*each.row, query, load, duration::zero(), now);
-        bool isTrial = now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > interval;
+        bool isTrial = m_makesTrials && now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > interval;
         if (isTrial && unusedLeft > 0) {
             --unusedLeft;
             isTrial = false;
@@ -196,7 +206,9 @@
         // Each node breaks ties in its own order, so that nodes with the same view do not meet at one target.
         constexpr double tieBreak = 0.02;
         constexpr double hashRange = 9007199254740992.0;
-        const double order = utility + (isTrial ? 1.0 : 0.0)
+        const double refresh = std::min(mostRefresh, refreshPerSecond * toSeconds(now - each.row->usedAt))
+            * std::max(0.0, 1.0 - each.sickness / unknownSickness);
+        const double order = utility + refresh + (isTrial ? 1.0 : 0.0)
             + tieBreak * static_cast<double>(hashOf(each.row->entry.id, m_seed + m_choices) >> 11U) / hashRange;
         if (order > bestOrder) {
             bestOrder = order;
@@ -232,6 +244,9 @@
         row.health.observe(goodAnswer, now);
         row.path.observe(goodAnswer, now);
         row.slowness.observe(taken, usualWork, now);
+        if (row.slowness.ratio(now) > disturbedSlowness) {
+            row.disturbedAt = now;
+        }
         ++row.goodAnswers;
         break;
     case target_outcome::failed:
@@ -248,6 +263,9 @@
         row.disturbedAt = now;
         break;
     case target_outcome::cancelled:
+        if (taken > usualWork * disturbedDelay) {
+            row.disturbedAt = now;
+        }
         break;
     }
     row.toldAt = now;
@@ -256,7 +274,6 @@
 void target_table::overdue(target_row &row, instant now)
 {
     row.health.observe(overdueAnswer, now);
-    row.disturbedAt = now;
     ++row.overdueAnswers;
     row.toldAt = now;
 }
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -38,7 +38,7 @@
     bool isPresent = true; ///< In the newest snapshot; absent rows stay until their requests have ended.
     instant coldUntil{};
     instant restUntil{}; ///< After it shed a request, no new one before this time.
-    instant disturbedAt{}; ///< Last broken, unsound or overdue exchange; failure answers are no disturbance.
+    instant disturbedAt{}; ///< Last broken, unsound or very slow exchange; failure answers are no disturbance.
     instant usedAt{}; ///< Last time that any node is known to have sent it a request.
     int own = 0; ///< Requests of this node at the target.
     load_report load;
@@ -107,6 +107,12 @@
     void started(target_row &row);
     void finished(target_row &row, target_outcome outcome, duration taken, duration usualWork, instant now);
 
+    /// Sets whether this node tries targets that nobody uses. Only nodes that hear of all others' requests know which ones.
+    void setTrials(bool areMade)
+    {
+        m_makesTrials = areMade;
+    }
+
     /// True if what is told has changed so much since the last call that peers should hear at once.
     bool takeUrgentNews();
 
@@ -153,6 +159,7 @@
     std::uint64_t m_seed;
     std::uint64_t m_choices = 0;
     bool m_hasUrgentNews = false;
+    bool m_makesTrials = true;
     std::unordered_map<std::uint64_t, target_row> m_rows;
     std::unordered_map<std::string, std::vector<std::uint64_t>> m_byService;
     std::map<std::uint64_t, peer_counts> m_peers;
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -194,6 +194,7 @@
                 {{"rank", std::to_string(m_rank)}, {"live", std::to_string(m_members.live(now))}, {"hubs", std::to_string(m_hubs.size())}});
         }
         const std::size_t nodes = std::max<std::size_t>(1, m_hubs.size() + (isHub ? 0 : 1));
+        m_targets.setTrials(isHub);
         m_relay.setShare({1.0 / static_cast<double>(nodes), nodes});
     }
 
