--- a/src/flamingofield/balance/retry_ledger.cpp
+++ b/src/flamingofield/balance/retry_ledger.cpp
@@ -4,6 +4,14 @@
 
 namespace flamingofield {
 
+namespace {
+
+/// What one node may spend of the budget in proportion to its requests. All nodes together then stay below the whole
+/// budget even if none hears of the others' repeats in time, since only a part of the budget is spent at all.
+constexpr double ownPart = 1.3;
+
+} // namespace
+
 std::int64_t retry_ledger::numberAt(instant now) const
 {
     const auto width = std::chrono::duration_cast<duration>(m_terms.window) / buckets;
@@ -65,17 +73,19 @@
     const retry_counts mine = sum(found->second, now);
     double requests = mine.requests;
     double repeats = mine.repeats;
+    std::size_t heard = 1;
     for (const auto &[peer, entry] : found->second.peers) {
         if (now - entry.first < m_terms.window) {
             requests += entry.second.requests;
             repeats += entry.second.repeats;
+            ++heard;
         }
     }
     const double budget = spentShare * (m_terms.ratio * requests + m_terms.slack);
     // A node that hears nobody must not spend what the others may be spending.
-    const double share = 1.0 / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const double ownShare = requests > 0.0 ? std::max(share, mine.requests / requests) : share;
-    return repeats + 1.0 <= budget && mine.repeats + 1.0 <= std::max(1.0, 2.0 * ownShare * budget);
+    const double equalShare = 1.0 / static_cast<double>(std::max<std::size_t>(1, nodes));
+    const double ownShare = heard >= nodes && requests > 0.0 ? mine.requests / requests : equalShare;
+    return repeats + 1.0 <= budget && mine.repeats + 1.0 <= std::max(1.0, ownPart * ownShare * budget);
 }
 
 retry_counts retry_ledger::own(std::string_view service, instant now) const
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -21,8 +21,8 @@
 constexpr double sickFailureShare = 0.65;
 /// Expected worth lost to traffic between data centres, as a share of a request's worth.
 constexpr double remotePenalty = 0.06;
-/// A request waits rather than take a free target whose expected worth is lower than that of waiting by more than this.
-constexpr double impatience = 0.04;
+/// A request waits rather than take a free target that promises less than waiting by more than this.
+constexpr double impatience = 0.08;
 /// A sound target that is not used becomes unknown, and unknown targets fail far more often than those known to be sound.
 /// Using it again in time is worth this much, per second since its last use.
 constexpr double refreshPerSecond = 0.2;
@@ -130,7 +130,7 @@
     bool isFree = false;
 };
 
-double target_table::utilityOf(const target_row &row, const target_query &query, double load, duration delay, instant now) const
+double target_table::promiseOf(const target_row &row, const target_query &query, duration delay, instant now) const
 {
     const double sickness = row.health.sickness(now);
     const double pathSickness = row.path.sickness(now);
@@ -145,8 +145,7 @@
     const double inTime = chanceWithin(query.aimLeft);
     const double atAll = chanceWithin(query.timeLeft);
     const double worth = inTime + lateShare * std::max(0.0, atAll - inTime);
-    const double distance = row.entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
-    return success * worth - loadPenalty * load - distance;
+    return success * worth;
 }
 
 std::vector<target_table::candidate> target_table::candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys,
@@ -186,18 +185,20 @@
     std::size_t unusedLeft = mayStayUnused(candidates, now);
     target_choice best;
     double bestOrder = -2.0;
+    double bestPromise = 0.0;
     double bestWaiting = 0.0;
     int freeSlots = 0;
     for (const candidate &each : candidates) {
         const int slots = std::max(1, each.row->entry.slots);
         if (!each.isFree) {
             const auto slotFrees = std::chrono::duration_cast<duration>(query.usualWork * each.row->slowness.ratio(now) / slots);
-            bestWaiting = std::max(bestWaiting, utilityOf(*each.row, query, 1.0, query.lineWait + slotFrees, now));
+            bestWaiting = std::max(bestWaiting, promiseOf(*each.row, query, query.lineWait + slotFrees, now));
             continue;
         }
         freeSlots += slots - each.inFlight;
-        const double load = static_cast<double>(each.inFlight) / slots;
-        const double utility = utilityOf(*each.row, query, load, duration::zero(), now);
+        const double promise = promiseOf(*each.row, query, duration::zero(), now);
+        const double distance = each.row->entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
+        const double utility = promise - distance - loadPenalty * static_cast<double>(each.inFlight) / slots;
         bool isTrial = m_makesTrials && now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > interval;
         if (isTrial && unusedLeft > 0) {
             --unusedLeft;
@@ -212,11 +213,12 @@
             + tieBreak * static_cast<double>(hashOf(each.row->entry.id, m_seed + m_choices) >> 11U) / hashRange;
         if (order > bestOrder) {
             bestOrder = order;
+            bestPromise = promise;
             best = {each.row, utility, each.sickness, each.row->slowness.ratio(now), each.inFlight, 0, isTrial};
         }
     }
     best.freeSlots = freeSlots;
-    const bool isWorthWaiting = !best.isTrial && best.utility + impatience < bestWaiting;
+    const bool isWorthWaiting = !best.isTrial && bestPromise + impatience < bestWaiting;
     if (best.row == nullptr || freeSlots <= query.reservedSlots || isWorthWaiting) {
         return std::nullopt;
     }
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -78,7 +78,7 @@
 struct target_choice
 {
     target_row *row = nullptr;
-    double utility = 0.0; ///< Expected share of the request's worth.
+    double utility = 0.0; ///< Expected share of the request's worth, less what distance and load cost.
     double sickness = 0.0;
     double slowness = 1.0;
     int inFlight = 0;
@@ -152,7 +152,8 @@
 
     std::size_t mayStayUnused(const std::vector<candidate> &candidates, instant now) const;
     std::vector<candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
-    double utilityOf(const target_row &row, const target_query &query, double load, duration delay, instant now) const;
+    /// Expected share of the request's worth if the target begins with it after a delay.
+    double promiseOf(const target_row &row, const target_query &query, duration delay, instant now) const;
     void removeEnded();
 
     std::string m_dataCentre;
--- /dev/null
+++ b/tests/balance/target_table_tests.cpp
@@ -0,0 +1,227 @@
+#include "balance/target_table.hpp"
+#include "support/test_arguments.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <random>
+
+using namespace flamingofield;
+
+namespace {
+
+const instant start = instant() + seconds(1000);
+constexpr milliseconds work{300};
+
+class target_table_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(target_table_tests);
+    CPPUNIT_TEST(neverExceedsTheSlotsThatPeersLeave);
+    CPPUNIT_TEST(sendsNothingToLeavingTargets);
+    CPPUNIT_TEST(waitsRatherThanUseASickTargetThatIsAlwaysFree);
+    CPPUNIT_TEST(keepsMostUndisturbedTargetsInUse);
+    CPPUNIT_TEST(failsLessThanRoundRobinWhenTargetsFailInPhases);
+    CPPUNIT_TEST(restsATargetThatShed);
+    CPPUNIT_TEST(learnsFromPeersWhichTargetsFail);
+    CPPUNIT_TEST(prefersTheOwnDataCentreAmongEquals);
+    CPPUNIT_TEST_SUITE_END();
+
+    static target_snapshot snapshot(int targets, int slots = 4)
+    {
+        target_snapshot made;
+        made.revision = 1;
+        for (int i = 0; i < targets; ++i) {
+            target_entry entry;
+            entry.id = "t" + std::to_string(i);
+            entry.service = "s";
+            entry.dataCentre = i % 2 == 0 ? "here" : "there";
+            entry.address = {"10.0.0." + std::to_string(i + 1), 7000};
+            entry.slots = slots;
+            made.targets.push_back(entry);
+        }
+        return made;
+    }
+
+    static target_query query()
+    {
+        target_query made;
+        made.service = "s";
+        made.usualWork = work;
+        made.timeLeft = seconds(4);
+        made.aimLeft = milliseconds(1500);
+        return made;
+    }
+
+    static std::uint64_t keyOf(const target_table &table, const std::string &id)
+    {
+        for (const auto &[key, row] : table.rows()) {
+            if (row.entry.id == id) {
+                return key;
+            }
+        }
+        return 0;
+    }
+
+    void neverExceedsTheSlotsThatPeersLeave()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(2), start);
+        table.told(7, {}, start);
+        table.told(7, {{keyOf(table, "t0"), 3, 0, 0, 0}, {keyOf(table, "t1"), 4, 0, 0, 0}}, start);
+        const auto choice = table.choose(query(), start);
+        CPPUNIT_ASSERT(choice.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), choice->row->entry.id);
+        table.started(*choice->row);
+        CPPUNIT_ASSERT(!table.choose(query(), start).has_value());
+        // What a silent peer told lapses.
+        CPPUNIT_ASSERT(table.choose(query(), start + seconds(2)).has_value());
+    }
+
+    void sendsNothingToLeavingTargets()
+    {
+        target_table table("here", 1);
+        auto both = snapshot(2);
+        table.apply(both, start);
+        both.targets[0].isDraining = true;
+        table.apply(both, start);
+        for (int i = 0; i < 20; ++i) {
+            CPPUNIT_ASSERT_EQUAL(std::string("t1"), table.choose(query(), start)->row->entry.id);
+        }
+        both.targets.erase(both.targets.begin() + 1);
+        table.apply(both, start);
+        CPPUNIT_ASSERT(!table.choose(query(), start).has_value());
+    }
+
+    /// Pattern: a target that fails within milliseconds is always free and draws the work of all busy ones.
+    void waitsRatherThanUseASickTargetThatIsAlwaysFree()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(3), start);
+        target_row *sick = table.find(keyOf(table, "t2"));
+        for (int i = 0; i < 6; ++i) {
+            table.started(*sick);
+            table.finished(*sick, target_outcome::failed, milliseconds(3), work, start);
+        }
+        sick->usedAt = start;
+        for (int i = 0; i < 8; ++i) {
+            const auto choice = table.choose(query(), start);
+            CPPUNIT_ASSERT(choice.has_value() && choice->row != sick);
+            table.started(*choice->row);
+        }
+        CPPUNIT_ASSERT(!table.choose(query(), start).has_value());
+        // With a long line before it the request would come too late elsewhere, so it takes the risk.
+        auto urgent = query();
+        urgent.lineWait = seconds(4);
+        CPPUNIT_ASSERT(table.choose(urgent, start).has_value());
+    }
+
+    /// Pattern: a third of the targets look sick while the rest could carry the load alone.
+    void keepsMostUndisturbedTargetsInUse()
+    {
+        constexpr int targets = 10;
+        target_table table("here", 1);
+        table.apply(snapshot(targets), start);
+        for (int i = 0; i < 5; ++i) {
+            target_row *sick = table.find(keyOf(table, "t" + std::to_string(i)));
+            for (int failure = 0; failure < 5; ++failure) {
+                table.started(*sick);
+                table.finished(*sick, target_outcome::failed, milliseconds(3), work, start);
+            }
+        }
+        std::map<std::string, instant> usedAt;
+        for (instant now = start; now < start + seconds(6); now += milliseconds(50)) {
+            const auto choice = table.choose(query(), now);
+            CPPUNIT_ASSERT(choice.has_value());
+            target_row &row = *choice->row;
+            usedAt[row.entry.id] = now;
+            table.started(row);
+            const bool isSick = row.entry.id < "t5";
+            table.finished(row, isSick ? target_outcome::failed : target_outcome::served, work, work, now);
+            if (now - start >= seconds(2)) {
+                int used = 0;
+                for (const auto &[id, at] : usedAt) {
+                    used += now - at <= seconds(2) ? 1 : 0;
+                }
+                CPPUNIT_ASSERT(used >= 7); // floor of seven tenths within two seconds
+            }
+        }
+    }
+
+    /// Pattern: at any time three in ten targets fail three quarters of their requests for some seconds.
+    void failsLessThanRoundRobinWhenTargetsFailInPhases()
+    {
+        constexpr int targets = 14;
+        constexpr int requests = 3000;
+        constexpr double failingShare = 0.75;
+        std::mt19937_64 random(test_support::testSeed());
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        target_table table("here", 1);
+        table.apply(snapshot(targets), start);
+        std::vector<instant> phaseEnd(targets, start);
+        std::vector<bool> isFailing(targets, false);
+        int failed = 0;
+        int failedInTurn = 0;
+        instant now = start;
+        for (int i = 0; i < requests; ++i, now += milliseconds(20)) {
+            for (int t = 0; t < targets; ++t) {
+                if (now >= phaseEnd[static_cast<std::size_t>(t)]) {
+                    isFailing[static_cast<std::size_t>(t)] = chance(random) < 0.3;
+                    phaseEnd[static_cast<std::size_t>(t)] = now + milliseconds(3000 + static_cast<int>(chance(random) * 6000));
+                }
+            }
+            const auto fails = [&](int t) { return isFailing[static_cast<std::size_t>(t)] && chance(random) < failingShare; };
+            failedInTurn += fails(i % targets) ? 1 : 0;
+            const auto choice = table.choose(query(), now);
+            CPPUNIT_ASSERT(choice.has_value());
+            const bool hasFailed = fails(std::stoi(choice->row->entry.id.substr(1)));
+            failed += hasFailed ? 1 : 0;
+            table.started(*choice->row);
+            table.finished(*choice->row, hasFailed ? target_outcome::failed : target_outcome::served, work, work, now);
+        }
+        // The baseline fails about 22 in 100; the choice must avoid more than half of that.
+        CPPUNIT_ASSERT(failedInTurn > requests / 8);
+        CPPUNIT_ASSERT(failed * 2 < failedInTurn);
+    }
+
+    void restsATargetThatShed()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(1), start);
+        const auto choice = table.choose(query(), start);
+        table.started(*choice->row);
+        table.finished(*choice->row, target_outcome::shed, milliseconds(2), work, start);
+        CPPUNIT_ASSERT(!table.choose(query(), start + milliseconds(20)).has_value());
+        CPPUNIT_ASSERT(table.choose(query(), start + milliseconds(500)).has_value());
+        CPPUNIT_ASSERT(table.find(keyOf(table, "t0"))->health.sickness(start) < 0.1);
+    }
+
+    void learnsFromPeersWhichTargetsFail()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(2), start);
+        const std::uint64_t key = keyOf(table, "t0");
+        table.told(7, {{key, 0, 10, 100, 0}}, start);
+        CPPUNIT_ASSERT(table.find(key)->health.sickness(start) < 0.2); // The first message sums up the past.
+        table.told(7, {{key, 0, 10, 102, 0}}, start);
+        CPPUNIT_ASSERT(table.find(key)->health.sickness(start) > 0.8);
+    }
+
+    void prefersTheOwnDataCentreAmongEquals()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(2), start);
+        int near = 0;
+        instant now = start;
+        for (int i = 0; i < 100; ++i, now += milliseconds(20)) {
+            const auto choice = table.choose(query(), now);
+            near += choice->row->entry.dataCentre == "here" ? 1 : 0;
+            table.started(*choice->row);
+            table.finished(*choice->row, target_outcome::served, work, work, now);
+        }
+        CPPUNIT_ASSERT(near > 60);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(target_table_tests);
+
+} // namespace
--- /dev/null
+++ b/tests/mesh/member_table_tests.cpp
@@ -0,0 +1,176 @@
+#include "mesh/member_table.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace flamingofield;
+
+namespace {
+
+const instant start = instant() + seconds(1000);
+
+/// Messages between tables, without a network: a datagram arrives at once or never.
+class paper_network
+{
+public:
+    paper_network(std::size_t nodes, std::size_t dataCentres)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            mesh_member self;
+            self.address = static_cast<node_address>(i + 1);
+            self.dataCentre = "dc" + std::to_string(i % dataCentres);
+            self.incarnation = 1;
+            self.isReady = true;
+            tables.emplace_back(self, std::vector<node_address>{1, 2, 3});
+        }
+    }
+
+    void run(duration length, const std::set<node_address> &silent = {})
+    {
+        for (const instant end = now + length; now < end; now += milliseconds(50)) {
+            for (auto &table : tables) {
+                const node_address from = table.self().address;
+                if (silent.count(from) != 0) {
+                    continue;
+                }
+                for (const node_address to : table.takeDue(false, now)) {
+                    if (to <= tables.size() && silent.count(to) == 0) {
+                        deliver(table, to);
+                    }
+                }
+            }
+        }
+    }
+
+    void deliver(const member_table &from, node_address to)
+    {
+        mesh_message message;
+        message.sender = from.self();
+        message.members = from.membersToTell(from.isInOwnDataCentre(to) || from.live(now) < 2, now);
+        message.wantsReply = from.live(now) < 2;
+        tables[to - 1].heard(message, now);
+        ++messages;
+        if (message.wantsReply) {
+            mesh_message reply;
+            reply.sender = tables[to - 1].self();
+            reply.members = tables[to - 1].membersToTell(true, now);
+            tables[from.self().address - 1].heard(reply, now);
+        }
+    }
+
+    std::vector<member_table> tables;
+    instant now = start;
+    int messages = 0;
+};
+
+class member_table_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(member_table_tests);
+    CPPUNIT_TEST(agreesOnTheHubsAfterAStartOfAllNodes);
+    CPPUNIT_TEST(replacesAHubThatFallsSilent);
+    CPPUNIT_TEST(leavesOutAHubThatSaysItLeaves);
+    CPPUNIT_TEST(ignoresOldNewsOfANodeThatStartedAgain);
+    CPPUNIT_TEST(survivesMessagesThatAreNoMessages);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::set<node_address> hubsSeenBy(const member_table &table, instant now)
+    {
+        std::set<node_address> addresses;
+        for (const auto &hub : table.readyHubs(now)) {
+            addresses.insert(hub.address);
+        }
+        return addresses;
+    }
+
+    void agreesOnTheHubsAfterAStartOfAllNodes()
+    {
+        paper_network network(44, 3);
+        network.run(seconds(3));
+        const auto expected = hubsSeenBy(network.tables[0], network.now);
+        CPPUNIT_ASSERT(expected.size() >= 6 && expected.size() <= 9);
+        for (const auto &table : network.tables) {
+            CPPUNIT_ASSERT(hubsSeenBy(table, network.now) == expected);
+        }
+        int readers = 0;
+        for (const auto &table : network.tables) {
+            readers += table.isReader(network.now) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(3, readers);
+    }
+
+    void replacesAHubThatFallsSilent()
+    {
+        paper_network network(12, 3);
+        network.run(seconds(3));
+        const node_address lost = *hubsSeenBy(network.tables[0], network.now).begin();
+        network.run(seconds(4), {lost});
+        for (const auto &table : network.tables) {
+            if (table.self().address != lost) {
+                const auto hubs = hubsSeenBy(table, network.now);
+                CPPUNIT_ASSERT(hubs.count(lost) == 0);
+                CPPUNIT_ASSERT(hubs.size() >= 6);
+            }
+        }
+    }
+
+    void leavesOutAHubThatSaysItLeaves()
+    {
+        paper_network network(6, 1);
+        network.run(seconds(2));
+        const node_address leaving = network.tables[0].hubs("dc0", network.now).front();
+        mesh_message message;
+        message.sender = network.tables[leaving - 1].self();
+        message.isLeaving = true;
+        member_table &other = network.tables[leaving % 6];
+        other.heard(message, network.now);
+        CPPUNIT_ASSERT(hubsSeenBy(other, network.now).count(leaving) == 0);
+    }
+
+    void ignoresOldNewsOfANodeThatStartedAgain()
+    {
+        member_table table({1, "a", 1, true, 0}, {});
+        mesh_message fresh;
+        fresh.sender = {2, "a", 9, true, 0};
+        table.heard(fresh, start);
+        mesh_message old;
+        old.sender = {3, "a", 1, true, 0};
+        old.members = {{2, "b", 4, false, 100}};
+        table.heard(old, start);
+        for (const auto &member : table.membersToTell(true, start)) {
+            if (member.address == 2) {
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), member.incarnation);
+                CPPUNIT_ASSERT_EQUAL(std::string("a"), member.dataCentre);
+                CPPUNIT_ASSERT(member.isReady);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.live(start));
+    }
+
+    void survivesMessagesThatAreNoMessages()
+    {
+        mesh_message message;
+        message.sender = {7, "a", 3, true, 0};
+        message.members = {{8, "b", 4, false, 100}};
+        message.targets = {{99, 2, 3, 4, 5}};
+        message.retries = {{"s", {10, 2}}};
+        const std::string bytes = encode(message);
+        const auto decoded = decodeMeshMessage(bytes);
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), decoded.value().retries[0].counts.repeats);
+        for (std::size_t length = 0; length < bytes.size(); ++length) {
+            CPPUNIT_ASSERT(!decodeMeshMessage(std::string_view(bytes).substr(0, length)).has_value());
+        }
+        std::string changed = bytes;
+        for (std::size_t i = 0; i < changed.size(); ++i) {
+            changed[i] = static_cast<char>(changed[i] ^ 0x55);
+            (void)decodeMeshMessage(changed).has_value(); // Must not end the process.
+            changed[i] = bytes[i];
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(member_table_tests);
+
+} // namespace
--- /dev/null
+++ b/tests/platform/platform_format_tests.cpp
@@ -0,0 +1,173 @@
+#include "node_file.hpp"
+#include "store_client.hpp"
+#include "store_format.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingofield;
+
+namespace {
+
+constexpr std::string_view settingsText = "self.node_name=n1\nself.ip_address=10.1.0.18\nself.zone=a\nself.region=r\n"
+                                          "self.unknown_field=whatever\n"
+                                          "network.listen_addresses.frontend=10.1.0.18:8381\n"
+                                          "network.listen_addresses.ready=10.1.0.18:8388\n"
+                                          "network.listen_addresses.directory=10.1.0.18:8383\n"
+                                          "network.internal_port_range=7200,7215\n"
+                                          "network.seed_nodes=10.1.0.18:8382,10.2.0.34:8382\n"
+                                          "platform.platform.address=10.200.1.7:8384\n"
+                                          "terms.bounds.retry_budget_ratio=0.25\nterms.bounds.grace_period_s=7\n";
+
+std::string without(std::string_view name)
+{
+    std::string text(settingsText);
+    const auto begin = text.find(name);
+    text.erase(begin, text.find('\n', begin) - begin + 1);
+    return text;
+}
+
+std::string replaced(std::string_view line, std::string_view with)
+{
+    std::string text(settingsText);
+    text.replace(text.find(line), line.size(), with);
+    return text;
+}
+
+constexpr auto goodRegistration = R"({"address":"10.128.0.9:8080","information":{"service":"s","version":"v1","zone":"a","slots":4},)"
+                                  R"("status":{"state":"ready","sequence_number":4,"cold_remaining_ms":1500},"born":1700000000123})";
+
+class platform_format_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(platform_format_tests);
+    CPPUNIT_TEST(readsTheSettingsAndIgnoresWhatItDoesNotKnow);
+    CPPUNIT_TEST(namesTheMissingOrMalformedSetting);
+    CPPUNIT_TEST(decodesARegistration);
+    CPPUNIT_TEST(takesForeignEntriesForNoTarget);
+    CPPUNIT_TEST(decodesAConfigurationWithSplitsAndLimits);
+    CPPUNIT_TEST(refusesAConfigurationThatIsCutShort);
+    CPPUNIT_TEST(decodesPagesAndPassesOverUnreadableRows);
+    CPPUNIT_TEST(answersTheDirectoryCall);
+    CPPUNIT_TEST_SUITE_END();
+
+    void readsTheSettingsAndIgnoresWhatItDoesNotKnow()
+    {
+        const auto file = platform::parseNodeFile(settingsText);
+        CPPUNIT_ASSERT(file.has_value());
+        const edge_settings &node = file.value().node;
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.18:8381"), toString(node.gate));
+        CPPUNIT_ASSERT_EQUAL(7200, static_cast<int>(node.meshPort));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), node.seeds.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.34"), node.seeds[1]);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, node.retries.ratio, 1e-9);
+        CPPUNIT_ASSERT(node.gracePeriod == seconds(7));
+    }
+
+    void namesTheMissingOrMalformedSetting()
+    {
+        for (const std::string name : {"self.node_name", "self.ip_address", "self.zone", "network.listen_addresses.frontend",
+                                       "network.internal_port_range", "platform.platform.address"}) {
+            const auto file = platform::parseNodeFile(without(name));
+            CPPUNIT_ASSERT(!file.has_value());
+            CPPUNIT_ASSERT_EQUAL(name, file.error().peer);
+        }
+        const auto badRatio = platform::parseNodeFile(replaced("retry_budget_ratio=0.25", "retry_budget_ratio=lots"));
+        CPPUNIT_ASSERT(!badRatio.has_value());
+        CPPUNIT_ASSERT(badRatio.error().reason.find("lots") != std::string::npos);
+        const auto badAddress = platform::parseNodeFile(replaced("self.ip_address=10.1.0.18", "self.ip_address=here"));
+        CPPUNIT_ASSERT(!badAddress.has_value());
+    }
+
+    void decodesARegistration()
+    {
+        const auto target = platform::decodeTarget({"servers/i-1", goodRegistration, 5, false});
+        CPPUNIT_ASSERT(target.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), target.value().id);
+        CPPUNIT_ASSERT_EQUAL(4, target.value().slots);
+        CPPUNIT_ASSERT(!target.value().isDraining);
+        CPPUNIT_ASSERT(target.value().coldFor == milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1700000000123), target.value().startedAtMs);
+    }
+
+    void takesForeignEntriesForNoTarget()
+    {
+        const std::string good = goodRegistration;
+        const auto changed = [&](const std::string &from, const std::string &to) {
+            std::string text = good;
+            text.replace(text.find(from), from.size(), to);
+            return platform::decodeTarget({"servers/i-1", text, 5, false}).has_value();
+        };
+        CPPUNIT_ASSERT(changed("\"v1\"", "\"v2\""));
+        CPPUNIT_ASSERT(!changed("\"ready\"", "\"resting\""));
+        CPPUNIT_ASSERT(!changed("\"ready\"", "7"));
+        CPPUNIT_ASSERT(!changed("\"slots\":4", "\"slots\":\"4\""));
+        CPPUNIT_ASSERT(!changed("\"slots\":4", "\"slots\":0"));
+        CPPUNIT_ASSERT(!changed("10.128.0.9:8080", "somewhere"));
+        CPPUNIT_ASSERT(!changed("\"information\"", "\"inform\""));
+        CPPUNIT_ASSERT(!platform::decodeTarget({"servers/i-1", "\x01\x02", 5, false}).has_value());
+    }
+
+    void decodesAConfigurationWithSplitsAndLimits()
+    {
+        const auto config = platform::decodeConfig(
+            {9,
+             R"({"version":7,"routes":{"r1":{"host":"a.example","prefix":"/x/","kind":"safe","timeout_ms":3000,"aim_ms":1500,)"
+             R"("priority":1,"traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}],"attempts":2},)"
+             R"("r2":{"host":"a.example","prefix":"/y/","kind":"unsafe","service":"s"}},"services":{"s":{"health_check_path":"/h",)"
+             R"("connection_limit":390}},"limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,)"
+             R"("idle_timeout_ms":400}})"});
+        CPPUNIT_ASSERT(config.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), config.value().stamp.version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), config.value().routes.size());
+        const forward_route &split = config.value().routes[0];
+        CPPUNIT_ASSERT(split.repeats == repeat_policy::idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), split.services.size());
+        CPPUNIT_ASSERT_EQUAL(2, split.attempts);
+        CPPUNIT_ASSERT(config.value().routes[1].repeats == repeat_policy::atMostOnce);
+        CPPUNIT_ASSERT(config.value().limits.idleTimeout == milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(390, config.value().services.at("s").connectionLimit);
+    }
+
+    void refusesAConfigurationThatIsCutShort()
+    {
+        CPPUNIT_ASSERT(!platform::decodeConfig({9, R"({"version":7,"routes":{"r1":{"host":"a.ex)"}).has_value());
+        CPPUNIT_ASSERT(!platform::decodeConfig({9, R"({"routes":{}})"}).has_value());
+        CPPUNIT_ASSERT(!platform::decodeConfig({9, R"({"version":1,"routes":{"r":{"prefix":"/"}}})"}).has_value());
+    }
+
+    void decodesPagesAndPassesOverUnreadableRows()
+    {
+        const auto page
+            = platform::decodePage(R"({"items":[{"key":"a","value":"bm9kZS0x","revision":3},{"key":"b","value":"***"},{"key":5},)"
+                                   R"({"key":"c","value":"bm9kZS0="}],"has_more":true,"store_revision":530})");
+        CPPUNIT_ASSERT(page.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), page.value().items.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page.value().items[0].value);
+        CPPUNIT_ASSERT_EQUAL(std::string("node-"), page.value().items[1].value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), page.value().unreadable);
+        CPPUNIT_ASSERT(page.value().hasMore);
+        const auto events = platform::decodePage(R"({"events":[{"key":"a","revision":4,"tombstone":true}],"store_revision":4})");
+        CPPUNIT_ASSERT(events.value().items[0].isTombstone);
+        CPPUNIT_ASSERT(!platform::decodePage("{}").has_value());
+        CPPUNIT_ASSERT(!platform::decodePage("no json").has_value());
+    }
+
+    void answersTheDirectoryCall()
+    {
+        const edge_surface surface = platform::makeSurface();
+        http_exchange_request request;
+        request.method = "GET";
+        request.target = "/api/resolve?name=a.example&region=r&zone=z1";
+        const auto query = surface.parseDirectoryCall(request);
+        CPPUNIT_ASSERT(query.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("z1"), query->dataCentre);
+        CPPUNIT_ASSERT_EQUAL(std::string("a.example"), query->host);
+        const auto answer = surface.directoryAnswer({{"10.0.0.1", 80}}, seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"addresses":["10.0.0.1:80"],"ttl_s":2})"), answer.body);
+        request.target = "/api/other";
+        CPPUNIT_ASSERT(!surface.parseDirectoryCall(request).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_format_tests);
+
+} // namespace
--- /dev/null
+++ b/tests/relay/relay_tests.cpp
@@ -0,0 +1,401 @@
+#include "relay/relay.hpp"
+#include "support/scripted_backend.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <unistd.h>
+
+using namespace flamingofield;
+using test_support::backend_reply;
+using test_support::backend_request;
+using test_support::scripted_backend;
+
+namespace {
+
+constexpr std::uint16_t backendPort = 7000;
+
+/// Caller that keeps the answer.
+class fake_caller : public pending_request
+{
+public:
+    explicit fake_caller(http_exchange_request request)
+        : m_request(std::move(request))
+    {
+    }
+
+    void answer(const http_exchange_answer &answer) override
+    {
+        ++answers;
+        received = answer;
+    }
+    void whenClientLeaves(std::function<void()> handler) override
+    {
+        onLeave = std::move(handler);
+    }
+    const http_exchange_request &request() const override
+    {
+        return m_request;
+    }
+
+    std::optional<http_exchange_answer> received;
+    std::function<void()> onLeave;
+    int answers = 0;
+
+private:
+    http_exchange_request m_request;
+};
+
+/// A relay before scripted backends, on one event loop.
+class bench
+{
+public:
+    explicit bench(const std::vector<scripted_backend::script> &scripts)
+        : path(loop, names(), targets, retries, connections, metrics)
+    {
+        static int instance = 0;
+        const std::string net = "127." + std::to_string(10 + getpid() % 200) + "." + std::to_string(++instance % 250) + ".";
+        target_snapshot snapshot;
+        for (std::size_t i = 0; i < scripts.size(); ++i) {
+            target_entry entry;
+            entry.id = "t" + std::to_string(i);
+            entry.service = "s";
+            entry.dataCentre = "here";
+            entry.slots = 2;
+            entry.address = {net + std::to_string(i + 1), backendPort};
+            backends.push_back(std::make_unique<scripted_backend>(loop, entry.address, scripts[i]));
+            snapshot.targets.push_back(entry);
+        }
+        targets.apply(snapshot, std::chrono::steady_clock::now());
+        config = std::make_shared<active_config>();
+        addRoute("read", "/read/", repeat_policy::idempotent);
+        addRoute("write", "/write/", repeat_policy::atMostOnce);
+        config->router = host_router(config->config.routes);
+        path.setConfig(config);
+    }
+
+    static relay_field_names names()
+    {
+        return {"X-Id", "X-Deadline", "X-Seal", "X-Expect", "X-Load", "X-Not-Run"};
+    }
+
+    std::shared_ptr<fake_caller> send(const std::string &target, const std::string &id, int deadlineMs = 2000)
+    {
+        http_exchange_request request;
+        request.method = "POST";
+        request.target = target;
+        request.body = "payload";
+        request.fields.add("Host", "a.example");
+        request.fields.add("X-Id", id);
+        request.fields.add("X-Deadline", std::to_string(deadlineMs));
+        request.fields.add("Connection", "keep-alive, X-Hop");
+        request.fields.add("X-Hop", "1");
+        request.fields.add("X-End", "2");
+        auto caller = std::make_shared<fake_caller>(request);
+        path.handle(caller);
+        return caller;
+    }
+
+    void run(milliseconds length)
+    {
+        const auto end = std::chrono::steady_clock::now() + length;
+        while (std::chrono::steady_clock::now() < end) {
+            loop.restart();
+            loop.run_for(milliseconds(5));
+            path.tick(std::chrono::steady_clock::now());
+        }
+    }
+
+    /// Runs until the caller has its answer.
+    /// @return its status, 0 if none came within the time
+    int await(const std::shared_ptr<fake_caller> &caller, milliseconds limit = milliseconds(3000))
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!caller->received && std::chrono::steady_clock::now() < end) {
+            run(milliseconds(5));
+        }
+        return caller->received ? caller->received->status : 0;
+    }
+
+    std::size_t arrivals() const
+    {
+        std::size_t count = 0;
+        for (const auto &backend : backends) {
+            count += backend->requests.size();
+        }
+        return count;
+    }
+
+    boost::asio::io_context loop{1};
+    relay_metrics metrics;
+    connection_pool connections;
+    target_table targets{"here", 1};
+    retry_ledger retries{retry_terms{}};
+    relay path;
+    std::shared_ptr<active_config> config;
+    std::vector<std::unique_ptr<scripted_backend>> backends;
+
+private:
+    void addRoute(const std::string &name, const std::string &prefix, repeat_policy repeats)
+    {
+        forward_route route;
+        route.name = name;
+        route.host = "a.example";
+        route.prefix = prefix;
+        route.repeats = repeats;
+        route.timeout = milliseconds(1000);
+        route.aim = milliseconds(500);
+        route.attempts = 2;
+        route.services = {{"s", 1.0}};
+        config->config.routes.push_back(route);
+    }
+};
+
+std::string idOf(const backend_request &request)
+{
+    return std::string(request["X-Id"]);
+}
+
+std::string whole(const std::string &id, const std::string &body = "done")
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+backend_reply serve(const backend_request &request)
+{
+    return {whole(idOf(request)), false, false};
+}
+backend_reply cutAnswer(const backend_request &request)
+{
+    const std::string bytes = whole(idOf(request));
+    return {bytes.substr(0, bytes.size() - 2), true, false};
+}
+backend_reply closeSilently(const backend_request &)
+{
+    return {"", true, false};
+}
+backend_reply fail(const backend_request &request)
+{
+    return {"HTTP/1.1 500 Error\r\nX-Id: " + idOf(request) + "\r\nX-Seal: bad\r\nContent-Length: 0\r\n\r\n", false, false};
+}
+backend_reply shed(const backend_request &)
+{
+    return {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false, false};
+}
+backend_reply hang(const backend_request &)
+{
+    return {"", false, false};
+}
+
+class relay_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(relay_tests);
+    CPPUNIT_TEST(forwardsTheRequestUnchangedButForHopByHopFields);
+    CPPUNIT_TEST(deliversNoPartOfACutAnswerAsWhole);
+    CPPUNIT_TEST(runsUnsafeWorkOnceWhenItsAnswerIsLost);
+    CPPUNIT_TEST(sendsIdempotentWorkToAnotherTargetWhenItsAnswerIsLost);
+    CPPUNIT_TEST(sendsUnsafeWorkAgainOnlyAfterATargetSaysItDidNotRun);
+    CPPUNIT_TEST(refusesTruthfullyWhenAllTargetsShed);
+    CPPUNIT_TEST(passesATargetsOwnFailureOnUnchanged);
+    CPPUNIT_TEST(takesNoAnswerOfAnotherRequest);
+    CPPUNIT_TEST(takesNoUnsealedOrEncodedSuccess);
+    CPPUNIT_TEST(doesNotTakeAnUnframedAnswerThatIsResetForWhole);
+    CPPUNIT_TEST(answersAtTheRoutesTimeout);
+    CPPUNIT_TEST(cancelsIdempotentWorkWhenItsCallerLeaves);
+    CPPUNIT_TEST(letsUnsafeWorkEndWhenItsCallerLeaves);
+    CPPUNIT_TEST(refusesWithoutConfigurationAndWithoutTargets);
+    CPPUNIT_TEST(refusesAtOnceWhatCannotBeServedInTime);
+    CPPUNIT_TEST(connectsElsewhereWhenATargetIsGone);
+    CPPUNIT_TEST_SUITE_END();
+
+    void forwardsTheRequestUnchangedButForHopByHopFields()
+    {
+        bench b({serve});
+        const auto caller = b.send("/write/a/b?q=1&r=%20x", "id1", 900);
+        CPPUNIT_ASSERT_EQUAL(200, b.await(caller));
+        const backend_request &seen = b.backends[0]->requests.at(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("/write/a/b?q=1&r=%20x"), std::string(seen.target()));
+        CPPUNIT_ASSERT_EQUAL(std::string("payload"), seen.body());
+        CPPUNIT_ASSERT_EQUAL(std::string("id1"), idOf(seen));
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), std::string(seen["X-Expect"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), std::string(seen["X-End"]));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), seen.count("X-Hop"));
+        const int passedOn = std::stoi(std::string(seen["X-Deadline"]));
+        CPPUNIT_ASSERT(passedOn > 0 && passedOn <= 900);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), caller->received->body);
+        CPPUNIT_ASSERT_EQUAL(std::string("seal"), std::string(caller->received->fields.value("X-Seal")));
+    }
+
+    void deliversNoPartOfACutAnswerAsWhole()
+    {
+        bench b({cutAnswer});
+        const auto caller = b.send("/write/", "id1");
+        CPPUNIT_ASSERT_EQUAL(502, b.await(caller));
+        CPPUNIT_ASSERT(!caller->received->fields.has("X-Seal"));
+    }
+
+    void runsUnsafeWorkOnceWhenItsAnswerIsLost()
+    {
+        bench b({closeSilently, closeSilently});
+        const auto caller = b.send("/write/", "id1");
+        // 502 promises nothing; 503 would say that the work did not run.
+        CPPUNIT_ASSERT_EQUAL(502, b.await(caller));
+        b.run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), b.arrivals());
+        CPPUNIT_ASSERT_EQUAL(1, caller->answers);
+    }
+
+    void sendsIdempotentWorkToAnotherTargetWhenItsAnswerIsLost()
+    {
+        int calls = 0;
+        const auto firstIsLost = [&](const backend_request &request) { return ++calls == 1 ? cutAnswer(request) : serve(request); };
+        bench b({firstIsLost, firstIsLost});
+        const auto caller = b.send("/read/", "id1");
+        CPPUNIT_ASSERT_EQUAL(200, b.await(caller));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), b.backends[0]->requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), b.backends[1]->requests.size());
+    }
+
+    void sendsUnsafeWorkAgainOnlyAfterATargetSaysItDidNotRun()
+    {
+        int calls = 0;
+        const auto firstSheds = [&](const backend_request &request) { return ++calls == 1 ? shed(request) : serve(request); };
+        bench b({firstSheds, firstSheds});
+        CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "id1")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), b.arrivals());
+    }
+
+    void refusesTruthfullyWhenAllTargetsShed()
+    {
+        bench b({shed, shed});
+        b.retries.setTerms({0.0, 0.0, seconds(10)}); // No repeat is allowed.
+        const auto caller = b.send("/write/", "id1");
+        CPPUNIT_ASSERT_EQUAL(503, b.await(caller));
+        CPPUNIT_ASSERT(caller->received->fields.has("Retry-After"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), b.arrivals());
+    }
+
+    void passesATargetsOwnFailureOnUnchanged()
+    {
+        bench b({fail});
+        const auto caller = b.send("/write/", "id1");
+        CPPUNIT_ASSERT_EQUAL(500, b.await(caller));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad"), std::string(caller->received->fields.value("X-Seal")));
+    }
+
+    void takesNoAnswerOfAnotherRequest()
+    {
+        const auto strayFirst = [](const backend_request &request) {
+            return backend_reply{whole("other", "stray") + whole(idOf(request)), false, false};
+        };
+        bench b({strayFirst});
+        const auto caller = b.send("/write/", "id1");
+        CPPUNIT_ASSERT_EQUAL(200, b.await(caller));
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), caller->received->body);
+        // The connection is not used again, since more may follow on it.
+        b.await(b.send("/write/", "id2"));
+        CPPUNIT_ASSERT_EQUAL(2, b.backends[0]->connections);
+    }
+
+    void takesNoUnsealedOrEncodedSuccess()
+    {
+        const auto unsealed = [](const backend_request &request) {
+            return backend_reply{"HTTP/1.1 200 OK\r\nX-Id: " + idOf(request) + "\r\nContent-Length: 1\r\n\r\nx", false, false};
+        };
+        const auto encoded = [](const backend_request &request) {
+            return backend_reply{"HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: " + idOf(request)
+                                     + "\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
+                                 false, false};
+        };
+        bench first({unsealed});
+        CPPUNIT_ASSERT_EQUAL(502, first.await(first.send("/write/", "id1")));
+        bench second({encoded});
+        CPPUNIT_ASSERT_EQUAL(502, second.await(second.send("/write/", "id1")));
+    }
+
+    void doesNotTakeAnUnframedAnswerThatIsResetForWhole()
+    {
+        const std::string unframed = "HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: id1\r\n\r\npart";
+        bench closed({[&](const backend_request &) { return backend_reply{unframed, true, false}; }});
+        CPPUNIT_ASSERT_EQUAL(200, closed.await(closed.send("/write/", "id1")));
+        bench reset({[&](const backend_request &) { return backend_reply{unframed, false, true}; }});
+        CPPUNIT_ASSERT_EQUAL(502, reset.await(reset.send("/write/", "id1")));
+    }
+
+    void answersAtTheRoutesTimeout()
+    {
+        bench b({hang});
+        const auto sentAt = std::chrono::steady_clock::now();
+        const auto caller = b.send("/write/", "id1", 60000);
+        CPPUNIT_ASSERT_EQUAL(504, b.await(caller));
+        const auto taken = std::chrono::steady_clock::now() - sentAt;
+        CPPUNIT_ASSERT(taken >= milliseconds(1000));
+        CPPUNIT_ASSERT(taken < milliseconds(1500)); // half a second is the platform's bound
+    }
+
+    void cancelsIdempotentWorkWhenItsCallerLeaves()
+    {
+        bench b({hang});
+        const auto caller = b.send("/read/", "id1");
+        b.run(milliseconds(60));
+        caller->onLeave();
+        b.run(milliseconds(60));
+        CPPUNIT_ASSERT_EQUAL(1, b.backends[0]->closedByPeer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), b.path.inFlight());
+        CPPUNIT_ASSERT_EQUAL(0, caller->answers);
+    }
+
+    void letsUnsafeWorkEndWhenItsCallerLeaves()
+    {
+        bench b({hang});
+        const auto caller = b.send("/write/", "id1");
+        b.run(milliseconds(60));
+        caller->onLeave();
+        b.run(milliseconds(60));
+        CPPUNIT_ASSERT_EQUAL(0, b.backends[0]->closedByPeer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), b.path.inFlight());
+    }
+
+    void refusesWithoutConfigurationAndWithoutTargets()
+    {
+        bench b({});
+        CPPUNIT_ASSERT_EQUAL(503, b.await(b.send("/write/", "id1")));
+        b.path.setConfig(nullptr);
+        const auto caller = b.send("/nowhere/", "id2");
+        CPPUNIT_ASSERT_EQUAL(503, b.await(caller));
+        CPPUNIT_ASSERT(caller->received->fields.has("Retry-After"));
+        b.path.setConfig(b.config);
+        CPPUNIT_ASSERT_EQUAL(404, b.await(b.send("/nowhere/", "id3")));
+    }
+
+    /// Pattern: a burst fills all slots with work that lasts longer than the callers can wait.
+    void refusesAtOnceWhatCannotBeServedInTime()
+    {
+        bench b({hang});
+        std::vector<std::shared_ptr<fake_caller>> callers;
+        for (int i = 0; i < 30; ++i) {
+            callers.push_back(b.send("/write/", "id" + std::to_string(i)));
+        }
+        int refused = 0;
+        for (const auto &caller : callers) {
+            refused += caller->received && caller->received->status == 503 ? 1 : 0;
+        }
+        // Two slots and one second for each: at the assumed 0.4 s no more than about six can be served.
+        CPPUNIT_ASSERT(refused >= 20);
+        CPPUNIT_ASSERT(b.path.inFlight() >= 2);
+    }
+
+    void connectsElsewhereWhenATargetIsGone()
+    {
+        bench b({serve, serve});
+        b.backends[0].reset();
+        for (int i = 0; i < 6; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "id" + std::to_string(i))));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(relay_tests);
+
+} // namespace
--- /dev/null
+++ b/tests/store/reading_schedule_tests.cpp
@@ -0,0 +1,67 @@
+#include "store/reading_schedule.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingofield;
+
+namespace {
+
+const instant start = instant() + seconds(1000);
+constexpr reading_schedule::pace pace{milliseconds(500), milliseconds(1100), milliseconds(80), milliseconds(100), milliseconds(1500)};
+
+class reading_schedule_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(reading_schedule_tests);
+    CPPUNIT_TEST(readsAtTheReadersPace);
+    CPPUNIT_TEST(leavesReadingToTheReaderWhileItsNewsAreFresh);
+    CPPUNIT_TEST(stepsInWithinTheBoundWhenNoNewsCome);
+    CPPUNIT_TEST(waitsLongerAfterEachFailure);
+    CPPUNIT_TEST_SUITE_END();
+
+    void readsAtTheReadersPace()
+    {
+        reading_schedule schedule(pace);
+        CPPUNIT_ASSERT(schedule.isDue(0, milliseconds(0), start));
+        schedule.started(start);
+        CPPUNIT_ASSERT(!schedule.isDue(0, seconds(9), start + seconds(9)));
+        schedule.succeeded(start + milliseconds(5));
+        CPPUNIT_ASSERT(!schedule.isDue(0, milliseconds(400), start + milliseconds(400)));
+        CPPUNIT_ASSERT(schedule.isDue(0, milliseconds(500), start + milliseconds(500)));
+    }
+
+    void leavesReadingToTheReaderWhileItsNewsAreFresh()
+    {
+        const reading_schedule schedule(pace);
+        CPPUNIT_ASSERT(!schedule.isDue(3, milliseconds(1000), start));
+    }
+
+    void stepsInWithinTheBoundWhenNoNewsCome()
+    {
+        const reading_schedule schedule(pace);
+        CPPUNIT_ASSERT(schedule.isDue(1, milliseconds(1200), start));
+        // Two seconds are the platform's bound; every node must have begun well before.
+        CPPUNIT_ASSERT(schedule.isDue(4000, milliseconds(1500), start));
+    }
+
+    void waitsLongerAfterEachFailure()
+    {
+        reading_schedule schedule(pace);
+        instant now = start;
+        duration previous{};
+        for (int i = 0; i < 4; ++i) {
+            schedule.started(now);
+            schedule.failed(now);
+            const instant failedAt = now;
+            while (!schedule.isDue(0, seconds(5), now)) {
+                now += milliseconds(10);
+            }
+            CPPUNIT_ASSERT(now - failedAt > previous);
+            previous = now - failedAt;
+        }
+        CPPUNIT_ASSERT(previous <= milliseconds(1500));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(reading_schedule_tests);
+
+} // namespace
--- a/tests/test_main.cpp
+++ b/tests/test_main.cpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "report/log.hpp"
 #include "support/test_arguments.hpp"
 
 namespace {
@@ -90,6 +91,7 @@
             filter = "(anonymous namespace)::" + word;
         }
     }
+    flamingofield::startLog("off", false, "tests");
     std::cout << "seed " << test_support::testSeed() << "\n";
     return runTests(filter, knownRedPath);
 }
