--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -30,6 +30,7 @@
         posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
         posix_spawn_file_actions_init(&files);
         posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        posix_spawn_file_actions_adddup2(&files, STDERR_FILENO, STDOUT_FILENO);
     }
 
     ~spawn_options()
@@ -47,16 +48,25 @@
 
 } // namespace
 
-flamingofield::result<child_process> child_process::start(const std::vector<std::string> &words, const std::string &log)
+flamingofield::result<child_process> child_process::start(const std::vector<std::string> &words, const std::string &log,
+                                                          const std::vector<std::string> &environment)
 {
     std::vector<char *> arguments;
     for (const auto &word : words) {
         arguments.push_back(const_cast<char *>(word.c_str()));
     }
     arguments.push_back(nullptr);
+    std::vector<char *> variables;
+    for (const auto &variable : environment) {
+        variables.push_back(const_cast<char *>(variable.c_str()));
+    }
+    for (char **inherited = environ; *inherited != nullptr; ++inherited) {
+        variables.push_back(*inherited);
+    }
+    variables.push_back(nullptr);
     const spawn_options options(log);
     child_process started;
-    const int failure = posix_spawn(&started.m_pid, arguments[0], &options.files, &options.attributes, arguments.data(), environ);
+    const int failure = posix_spawn(&started.m_pid, arguments[0], &options.files, &options.attributes, arguments.data(), variables.data());
     if (failure != 0) {
         started.m_pid = 0;
         return error{"start process", words[0], std::strerror(failure)};
--- a/standins/child_process.hpp
+++ b/standins/child_process.hpp
@@ -18,8 +18,10 @@
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
 
-    /// @param log file for standard error
-    static flamingofield::result<child_process> start(const std::vector<std::string> &words, const std::string &log);
+    /// @param log file for standard output and standard error
+    /// @param environment variables beside those of this process, as NAME=VALUE
+    static flamingofield::result<child_process> start(const std::vector<std::string> &words, const std::string &log,
+                                                      const std::vector<std::string> &environment = {});
 
     /// Sends a signal; SIGSTOP and SIGCONT freeze and wake it.
     void signal(int number) const;
