Keep sound slots for urgent work; estimate waits by the work that occupies slots

The time until a slot frees was estimated by the waiting request's own work.

Ruled out: too few slots (23 free), stale news (targets at most 0.6 s old), too small a line.

The test keepsSoundSlotsForUrgentWorkWhenSickTargetsAreFree failed before.

--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -29,6 +29,13 @@
 constexpr double mostRefresh = 0.25;
 /// Sickness from which a target counts as unknown; a sound one reaches it about three seconds after its last success.
 constexpr double unknownSickness = 0.1;
+/// Worth of a failed idempotent request that is sent again, as a share of one that succeeds at once. Low enough that a target
+/// which fails within milliseconds does not use up the budget for repeats.
+constexpr double repeatWorth = 0.4;
+/// Targets that promise less than the best one by more than this are not counted as room for urgent work.
+constexpr double soundMargin = 0.2;
+/// Each finished request lowers the weight of earlier ones in the mean work of a slot by this factor.
+constexpr double occupancyMemory = 0.98;
 /// A target that nobody used for this long gets the next request if too many are unused; below the two seconds within which
 /// most targets of a service must see work.
 constexpr milliseconds trialInterval{1600};
@@ -49,6 +56,13 @@
 /// Newly started targets work at about half speed.
 constexpr double coldSlowness = 2.0;
 
+void occupied(slot_occupancy &occupancy, duration taken)
+{
+    const double work = toSeconds(taken);
+    occupancy.squares = occupancy.squares * occupancyMemory + work * work;
+    occupancy.sum = occupancy.sum * occupancyMemory + work;
+}
+
 std::uint64_t keyOf(const target_entry &entry)
 {
     return hashOf(entry.id, static_cast<std::uint64_t>(entry.startedAtMs));
@@ -145,7 +159,19 @@
     const double inTime = chanceWithin(query.aimLeft);
     const double atAll = chanceWithin(query.timeLeft);
     const double worth = inTime + lateShare * std::max(0.0, atAll - inTime);
-    return success * worth;
+    const double repeated = query.mayRepeat ? repeatWorth * (1.0 - success) : 0.0;
+    return (success + repeated) * worth;
+}
+
+duration target_table::slotFrees(const target_row &row, const target_query &query, instant now) const
+{
+    double work = toSeconds(query.usualWork);
+    const auto found = m_occupancy.find(row.entry.service);
+    if (found != m_occupancy.end() && found->second.sum > 0.0) {
+        work = std::max(work, found->second.squares / found->second.sum);
+    }
+    const double wait = work * row.slowness.ratio(now) / std::max(1, row.entry.slots);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
 std::vector<target_table::candidate> target_table::candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys,
@@ -187,16 +213,17 @@
     double bestOrder = -2.0;
     double bestPromise = 0.0;
     double bestWaiting = 0.0;
-    int freeSlots = 0;
+    double bestOfAll = 0.0;
+    std::vector<std::pair<double, int>> freeByPromise;
     for (const candidate &each : candidates) {
         const int slots = std::max(1, each.row->entry.slots);
+        const double promise = promiseOf(*each.row, query, duration::zero(), now);
+        bestOfAll = std::max(bestOfAll, promise);
         if (!each.isFree) {
-            const auto slotFrees = std::chrono::duration_cast<duration>(query.usualWork * each.row->slowness.ratio(now) / slots);
-            bestWaiting = std::max(bestWaiting, promiseOf(*each.row, query, query.lineWait + slotFrees, now));
+            bestWaiting = std::max(bestWaiting, promiseOf(*each.row, query, query.lineWait + slotFrees(*each.row, query, now), now));
             continue;
         }
-        freeSlots += slots - each.inFlight;
-        const double promise = promiseOf(*each.row, query, duration::zero(), now);
+        freeByPromise.emplace_back(promise, slots - each.inFlight);
         const double distance = each.row->entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
         const double utility = promise - distance - loadPenalty * static_cast<double>(each.inFlight) / slots;
         bool isTrial = m_makesTrials && now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > interval;
@@ -217,9 +244,17 @@
             best = {each.row, utility, each.sickness, each.row->slowness.ratio(now), each.inFlight, 0, isTrial};
         }
     }
-    best.freeSlots = freeSlots;
+    for (const auto &[promise, slots] : freeByPromise) {
+        best.freeSlots += promise + soundMargin >= bestOfAll ? slots : 0;
+    }
+    if (best.row == nullptr) {
+        return std::nullopt;
+    }
+    // Only sound slots are kept for urgent work; what takes a poorer one takes nothing from it.
+    const bool isSound = bestPromise + soundMargin >= bestOfAll;
+    const bool isReserved = isSound && best.freeSlots <= query.reservedSlots;
     const bool isWorthWaiting = !best.isTrial && bestPromise + impatience < bestWaiting;
-    if (best.row == nullptr || freeSlots <= query.reservedSlots || isWorthWaiting) {
+    if (isReserved || isWorthWaiting) {
         return std::nullopt;
     }
     best.row->usedAt = now;
@@ -246,6 +281,7 @@
         row.health.observe(goodAnswer, now);
         row.path.observe(goodAnswer, now);
         row.slowness.observe(taken, usualWork, now);
+        occupied(m_occupancy[row.entry.service], taken);
         if (row.slowness.ratio(now) > disturbedSlowness) {
             row.disturbedAt = now;
         }
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -74,6 +74,14 @@
     int reservedSlots = 0; ///< Free slots of the service that more urgent work keeps.
 };
 
+/// Mean work that occupies a slot. Long work fills more of the time than its share of the requests, so each request counts
+/// by its length.
+struct slot_occupancy
+{
+    double squares = 0.0; ///< Sum of squared work times in seconds, fading.
+    double sum = 0.0; ///< Sum of work times in seconds, fading.
+};
+
 /// A chosen target and why.
 struct target_choice
 {
@@ -82,7 +90,7 @@
     double sickness = 0.0;
     double slowness = 1.0;
     int inFlight = 0;
-    int freeSlots = 0; ///< Of the whole service before this request.
+    int freeSlots = 0; ///< Of the service's sound targets before this request.
     bool isTrial = false; ///< Chosen because nobody has used it for a while.
 };
 
@@ -152,6 +160,9 @@
 
     std::size_t mayStayUnused(const std::vector<candidate> &candidates, instant now) const;
     std::vector<candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
+    /// Time until one of a busy target's slots becomes free.
+    duration slotFrees(const target_row &row, const target_query &query, instant now) const;
+
     /// Expected share of the request's worth if the target begins with it after a delay.
     double promiseOf(const target_row &row, const target_query &query, duration delay, instant now) const;
     void removeEnded();
@@ -164,6 +175,7 @@
     std::unordered_map<std::uint64_t, target_row> m_rows;
     std::unordered_map<std::string, std::vector<std::uint64_t>> m_byService;
     std::map<std::uint64_t, peer_counts> m_peers;
+    std::unordered_map<std::string, slot_occupancy> m_occupancy; ///< By service.
 };
 
 } // namespace flamingofield
--- a/src/flamingofield/edge/shared_knowledge.cpp
+++ b/src/flamingofield/edge/shared_knowledge.cpp
@@ -16,6 +16,9 @@
 constexpr reading_schedule::pace configPace{milliseconds(0), milliseconds(1600), milliseconds(80), milliseconds(100), milliseconds(1500)};
 constexpr milliseconds watchTime{1000};
 
+/// Documents above this many bytes are read from the store by every node.
+constexpr std::uint32_t largeDocument = 48U << 10U;
+
 constexpr auto configPath = "/mesh/config";
 constexpr auto targetsPath = "/mesh/targets";
 constexpr auto revisionField = "Document-Revision";
@@ -201,25 +204,49 @@
 }
 
 void shared_knowledge::heard(node_address peer, const mesh_knowledge &theirs, instant now)
+{
+    heardConfig(peer, theirs, now);
+    heardTargets(peer, theirs, now);
+}
+
+void shared_knowledge::heardConfig(node_address peer, const mesh_knowledge &theirs, instant now)
 {
     const config_stamp own = m_config == nullptr ? config_stamp() : m_config->config.stamp;
     if (theirs.config == own && m_config != nullptr && theirs.configAgeMs != mesh_knowledge::noAge) {
         m_configConfirmedAt = std::max(m_configConfirmedAt, now - milliseconds(theirs.configAgeMs));
         m_isConfigConfirmed = true;
-    } else if (own < theirs.config && !m_isFetchingConfig) {
-        m_isFetchingConfig = true;
-        m_fetch(peer, configPath, [this](result<http_exchange_answer> answer) {
-            m_isFetchingConfig = false;
-            if (!answer || answer.value().status != 200) {
-                return; // The next message of a peer starts another fetch.
-            }
-            store_document document;
-            const auto text = answer.value().fields.value(revisionField);
-            std::from_chars(text.data(), text.data() + text.size(), document.revision);
-            document.bytes = answer.value().body;
-            takeConfig(document, "peer", std::chrono::steady_clock::now());
-        });
     }
+    if (!(own < theirs.config)) {
+        return;
+    }
+    // Many nodes that fetch a large document from one small node would fill its link for seconds; the store's is wide.
+    if (theirs.configBytes > largeDocument && !m_isStoreLost) {
+        if (m_configReads.isIdle(now)) {
+            readConfig(now);
+        }
+    } else if (!m_isFetchingConfig) {
+        fetchConfig(peer);
+    }
+}
+
+void shared_knowledge::fetchConfig(node_address peer)
+{
+    m_isFetchingConfig = true;
+    m_fetch(peer, configPath, [this](result<http_exchange_answer> answer) {
+        m_isFetchingConfig = false;
+        if (!answer || answer.value().status != 200) {
+            return; // The next message of a peer starts another fetch.
+        }
+        store_document document;
+        const auto text = answer.value().fields.value(revisionField);
+        std::from_chars(text.data(), text.data() + text.size(), document.revision);
+        document.bytes = answer.value().body;
+        takeConfig(document, "peer", std::chrono::steady_clock::now());
+    });
+}
+
+void shared_knowledge::heardTargets(node_address peer, const mesh_knowledge &theirs, instant now)
+{
     if (theirs.targetsAgeMs == mesh_knowledge::noAge || theirs.targetsRevision < m_targets.revision) {
         return;
     }
@@ -229,28 +256,34 @@
         m_targetsConfirmedAt = std::max(m_targetsConfirmedAt, confirmedAt);
         m_guard.snapshotAdopted(now);
     } else if (!m_isFetchingTargets && (theirs.targetsRevision > m_targets.revision || !m_hasTargets)) {
-        m_isFetchingTargets = true;
-        m_fetch(peer, targetsPath, [this, confirmedAt](result<http_exchange_answer> answer) {
-            m_isFetchingTargets = false;
-            if (!answer || answer.value().status != 200) {
-                return; // The next message of a peer starts another fetch.
-            }
-            const instant ended = std::chrono::steady_clock::now();
-            auto decoded = decodeTargetSnapshot(answer.value().body);
-            if (!decoded) {
-                logEvent(log_level::error, "targets_rejected", {{"source", "peer"}, {"error", describe(decoded.error())}});
-            } else if (decoded.value().revision > m_targets.revision || !m_hasTargets) {
-                m_guard.snapshotAdopted(ended);
-                takeTargets(std::move(decoded.value()), "peer", confirmedAt, ended);
-            }
-        });
+        fetchTargets(peer, confirmedAt);
     }
 }
 
+void shared_knowledge::fetchTargets(node_address peer, instant confirmedAt)
+{
+    m_isFetchingTargets = true;
+    m_fetch(peer, targetsPath, [this, confirmedAt](result<http_exchange_answer> answer) {
+        m_isFetchingTargets = false;
+        if (!answer || answer.value().status != 200) {
+            return; // The next message of a peer starts another fetch.
+        }
+        const instant ended = std::chrono::steady_clock::now();
+        auto decoded = decodeTargetSnapshot(answer.value().body);
+        if (!decoded) {
+            logEvent(log_level::error, "targets_rejected", {{"source", "peer"}, {"error", describe(decoded.error())}});
+        } else if (decoded.value().revision > m_targets.revision || !m_hasTargets) {
+            m_guard.snapshotAdopted(ended);
+            takeTargets(std::move(decoded.value()), "peer", confirmedAt, ended);
+        }
+    });
+}
+
 mesh_knowledge shared_knowledge::tell(instant now) const
 {
     mesh_knowledge knowledge;
     knowledge.config = m_config == nullptr ? config_stamp() : m_config->config.stamp;
+    knowledge.configBytes = static_cast<std::uint32_t>(m_document.bytes.size());
     knowledge.targetsRevision = m_targets.revision;
     knowledge.targetsDigest = m_digest;
     knowledge.targetsAgeMs = ageMs(m_hasTargets, m_targetsConfirmedAt, now);
--- a/src/flamingofield/edge/shared_knowledge.hpp
+++ b/src/flamingofield/edge/shared_knowledge.hpp
@@ -48,6 +48,10 @@
     static constexpr milliseconds startDelay{150};
 
 private:
+    void fetchConfig(node_address peer);
+    void fetchTargets(node_address peer, instant confirmedAt);
+    void heardConfig(node_address peer, const mesh_knowledge &theirs, instant now);
+    void heardTargets(node_address peer, const mesh_knowledge &theirs, instant now);
     void readTargets(instant now);
     void readConfig(instant now);
     void watchConfig(instant now);
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// First element of each message; changes with its layout.
-constexpr int messageFormat = 1;
+constexpr int messageFormat = 2;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -66,8 +66,8 @@
 
 void pack(packer &out, const mesh_knowledge &knowledge)
 {
-    out.pack_array(6);
-    out.pack(knowledge.config.version).pack(knowledge.config.revision);
+    out.pack_array(7);
+    out.pack(knowledge.config.version).pack(knowledge.config.revision).pack(knowledge.configBytes);
     out.pack(knowledge.targetsRevision).pack(knowledge.targetsDigest).pack(knowledge.targetsAgeMs).pack(knowledge.configAgeMs);
 }
 
@@ -77,6 +77,7 @@
     mesh_knowledge knowledge;
     knowledge.config.version = in.as<std::uint64_t>();
     knowledge.config.revision = in.as<std::uint64_t>();
+    knowledge.configBytes = in.as<std::uint32_t>();
     knowledge.targetsRevision = in.as<std::uint64_t>();
     knowledge.targetsDigest = in.as<std::uint64_t>();
     knowledge.targetsAgeMs = in.as<std::uint32_t>();
--- a/src/flamingofield/mesh/mesh_message.hpp
+++ b/src/flamingofield/mesh/mesh_message.hpp
@@ -29,6 +29,7 @@
 struct mesh_knowledge
 {
     config_stamp config;
+    std::uint32_t configBytes = 0; ///< Length of the configuration's document.
     std::uint64_t targetsRevision = 0;
     std::uint64_t targetsDigest = 0;
     std::uint32_t targetsAgeMs = noAge; ///< Since a reader confirmed the targets at the registry.
--- a/src/flamingofield/relay/relay.cpp
+++ b/src/flamingofield/relay/relay.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds longestIdleForUnsafe{5000};
 /// The same for idempotent work, which is sent again if the connection turns out to be dead.
 constexpr seconds longestIdleForSafe{8};
+/// Targets are at most a few milliseconds away; a lost opening packet is repeated only after a second, so another target is
+/// faster.
+constexpr milliseconds targetConnectTimeout{200};
 /// Part of the caller's time that it may spend waiting before it comes back; callers follow no longer delays.
 constexpr double longestReturnShare = 1.0 / 3.0;
 /// Least delay that is told to a refused caller; room rarely comes sooner.
@@ -297,6 +300,7 @@
     row.isOverdue = false;
     exchange_options options;
     options.poolKey = target.entry.id + "@" + toString(target.entry.address);
+    options.connectTimeout = targetConnectTimeout;
     options.longestIdle = row.mayRepeat() ? duration(longestIdleForSafe) : duration(longestIdleForUnsafe);
     options.idField = m_names.requestId;
     row.current = std::make_shared<exchange>(m_loop, m_connections, target.entry.address, options);
@@ -403,7 +407,7 @@
         break;
     case target_outcome::failed:
     case target_outcome::cancelled:
-        afterFailure(row, true, std::move(answer), "target failed", now);
+        afterFailure(row, true, answer, "target failed", now);
         break;
     }
 }
@@ -417,7 +421,7 @@
     return !wasSent || m_retries.mayRepeat(row.service, m_share.nodes, now);
 }
 
-void relay::afterFailure(request_row &row, bool didRun, http_exchange_answer answer, std::string_view reason, instant now)
+void relay::afterFailure(request_row &row, bool didRun, const http_exchange_answer &answer, std::string_view reason, instant now)
 {
     row.runs += didRun ? 1 : 0;
     const bool wasSent = row.arrivals > 0;
--- a/src/flamingofield/relay/relay.hpp
+++ b/src/flamingofield/relay/relay.hpp
@@ -82,7 +82,7 @@
     http_exchange_request outbound(const request_row &row, const target_entry &target, instant now) const;
     void exchangeEnded(std::uint64_t serial, std::uint64_t targetKey, exchange_result result);
     void judgeAnswer(request_row &row, target_row *target, exchange_result &result, duration taken, instant now);
-    void afterFailure(request_row &row, bool didRun, http_exchange_answer answer, std::string_view reason, instant now);
+    void afterFailure(request_row &row, bool didRun, const http_exchange_answer &answer, std::string_view reason, instant now);
     bool maySendAgain(request_row &row, bool wasSent, instant now);
     void sendAgain(request_row &row, instant now);
     void wait(request_row &row, instant now);
--- a/src/flamingofield/store/reading_schedule.hpp
+++ b/src/flamingofield/store/reading_schedule.hpp
@@ -27,6 +27,12 @@
     /// @param rank place of this node in its data centre, the reader has 0
     bool isDue(std::size_t rank, duration age, instant now) const;
 
+    /// True if no read runs and none has to wait after a failure.
+    bool isIdle(instant now) const
+    {
+        return !m_isRunning && now >= m_notBefore;
+    }
+
     void started(instant now);
     void succeeded(instant now);
     void failed(instant now);
--- a/tests/balance/target_table_tests.cpp
+++ b/tests/balance/target_table_tests.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(neverExceedsTheSlotsThatPeersLeave);
     CPPUNIT_TEST(sendsNothingToLeavingTargets);
     CPPUNIT_TEST(waitsRatherThanUseASickTargetThatIsAlwaysFree);
+    CPPUNIT_TEST(keepsSoundSlotsForUrgentWorkWhenSickTargetsAreFree);
     CPPUNIT_TEST(keepsMostUndisturbedTargetsInUse);
     CPPUNIT_TEST(failsLessThanRoundRobinWhenTargetsFailInPhases);
     CPPUNIT_TEST(restsATargetThatShed);
@@ -115,6 +116,36 @@
         CPPUNIT_ASSERT(table.choose(urgent, start).has_value());
     }
 
+    /// Pattern: a burst of long, least urgent work fills the sound targets while the sick ones stay free.
+    void keepsSoundSlotsForUrgentWorkWhenSickTargetsAreFree()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(4), start);
+        for (const std::string id : {"t2", "t3"}) {
+            target_row *sick = table.find(keyOf(table, id));
+            for (int i = 0; i < 6; ++i) {
+                table.started(*sick);
+                table.finished(*sick, target_outcome::failed, milliseconds(3), work, start);
+            }
+            sick->usedAt = start;
+        }
+        constexpr int reserved = 2;
+        auto least = query();
+        least.reservedSlots = reserved;
+        int taken = 0;
+        while (const auto choice = table.choose(least, start)) {
+            CPPUNIT_ASSERT(choice->row->entry.id < "t2");
+            table.started(*choice->row);
+            ++taken;
+        }
+        CPPUNIT_ASSERT_EQUAL(2 * 4 - reserved, taken);
+        for (int i = 0; i < reserved; ++i) {
+            const auto urgent = table.choose(query(), start);
+            CPPUNIT_ASSERT(urgent.has_value() && urgent->row->entry.id < "t2");
+            table.started(*urgent->row);
+        }
+    }
+
     /// Pattern: a third of the targets look sick while the rest could carry the load alone.
     void keepsMostUndisturbedTargetsInUse()
     {
