--- a/src/flamingofield/discovery/target_snapshot.cpp
+++ b/src/flamingofield/discovery/target_snapshot.cpp
@@ -17,25 +17,16 @@
     return digest;
 }
 
-void missing_target_guard::readFailed(instant now)
-{
-    m_isFailing = true;
-    m_holdUntil = now + renewalTime;
-}
-
 void missing_target_guard::snapshotAdopted(instant now)
 {
-    m_isFailing = false;
     m_lastRead = now;
 }
 
 target_snapshot missing_target_guard::complete(const target_snapshot &previous, target_snapshot read, instant now)
 {
-    const bool wasAway = m_isFailing || (m_lastRead != instant{} && now - m_lastRead > longestGap);
-    if (wasAway) {
+    if (m_lastRead != instant{} && now - m_lastRead > m_shortestExpiry) {
         m_holdUntil = now + renewalTime;
     }
-    m_isFailing = false;
     m_lastRead = now;
     if (now >= m_holdUntil) {
         return read;
--- a/src/flamingofield/discovery/target_snapshot.hpp
+++ b/src/flamingofield/discovery/target_snapshot.hpp
@@ -40,8 +40,11 @@
     /// Registrations that expired during an outage are renewed within this time after it; from the platform's contract.
     static constexpr milliseconds renewalTime{2000};
 
-    /// Notes that a read failed, so that expired registrations prove nothing for a while.
-    void readFailed(instant now);
+    /// @param heartbeat interval at which targets renew their registration; it expires after three of them
+    explicit missing_target_guard(milliseconds heartbeat = milliseconds(1500))
+        : m_shortestExpiry(heartbeat * 2 - heartbeat / 3)
+    {
+    }
 
     /// Notes that a complete snapshot came from another node, which applies the same rule.
     void snapshotAdopted(instant now);
@@ -52,10 +55,8 @@
     target_snapshot complete(const target_snapshot &previous, target_snapshot read, instant now);
 
 private:
-    /// A gap between two reads that is longer than this can hide an outage.
-    static constexpr milliseconds longestGap{1500};
-
-    bool m_isFailing = false;
+    /// Outages that are shorter than this let no registration expire: the last renewal lies at most one heartbeat before them.
+    milliseconds m_shortestExpiry;
     instant m_lastRead{};
     instant m_holdUntil{};
 };
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -82,7 +82,7 @@
         , m_knowledge(
               std::move(store), [this](node_address peer, const std::string &path, auto onEnd) { fetch(peer, path, std::move(onEnd)); },
               [this](std::shared_ptr<const active_config> config) { takeConfig(std::move(config)); },
-              [this](const target_snapshot &snapshot) { takeTargets(snapshot); }, std::chrono::steady_clock::now())
+              [this](const target_snapshot &snapshot) { takeTargets(snapshot); }, m_settings.heartbeat, std::chrono::steady_clock::now())
         , m_gate(
               loop, [this] { return m_limits; }, [this](const auto &pending) { handleGate(pending); })
         , m_readiness(
--- a/src/flamingofield/edge/edge_settings.hpp
+++ b/src/flamingofield/edge/edge_settings.hpp
@@ -30,6 +30,7 @@
     std::uint16_t meshPort = 0; ///< UDP and TCP between nodes, the same on all VMs.
     std::vector<std::string> seeds; ///< IPv4 addresses of nodes to ask first; they may be down.
     retry_terms retries;
+    milliseconds heartbeat{1500}; ///< Interval at which targets renew their registration.
     seconds gracePeriod{6}; ///< From the planned stop to the end by force.
     seconds longestAddressTtl{5}; ///< Bound on the time for which callers keep an address answer.
 };
--- a/src/flamingofield/edge/shared_knowledge.cpp
+++ b/src/flamingofield/edge/shared_knowledge.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 shared_knowledge::shared_knowledge(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets,
-                                   instant startedAt)
+                                   milliseconds heartbeat, instant startedAt)
     : m_store(std::move(store))
     , m_fetch(std::move(fetch))
     , m_onConfig(std::move(onConfig))
@@ -41,6 +41,7 @@
     , m_configReads(configPace)
     , m_targetsConfirmedAt(startedAt)
     , m_targetReads(targetPace)
+    , m_guard(heartbeat)
 {
 }
 
@@ -97,7 +98,6 @@
         const instant ended = std::chrono::steady_clock::now();
         if (!read) {
             m_targetReads.failed(ended);
-            m_guard.readFailed(ended);
             storeFailed("read targets", read.error());
             return;
         }
--- a/src/flamingofield/edge/shared_knowledge.hpp
+++ b/src/flamingofield/edge/shared_knowledge.hpp
@@ -20,7 +20,9 @@
     using config_handler = std::function<void(std::shared_ptr<const active_config>)>;
     using targets_handler = std::function<void(const target_snapshot &)>;
 
-    shared_knowledge(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, instant startedAt);
+    /// @param heartbeat interval at which targets renew their registration
+    shared_knowledge(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, milliseconds heartbeat,
+                     instant startedAt);
 
     /// Starts the reads that are due.
     /// @param rank place of this node in its data centre; 0 reads for the others
