--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -86,13 +86,13 @@
         , m_gate(
               loop, [this] { return m_limits; }, [this](const auto &pending) { handleGate(pending); })
         , m_readiness(
-              loop, [] { return connection_limits(); }, [this](const auto &pending) { handleReadiness(pending); })
+              loop, [] { return client_connection_limits(); }, [this](const auto &pending) { handleReadiness(pending); })
         , m_directory(
-              loop, [] { return connection_limits(); }, [this](const auto &pending) { handleDirectory(pending); })
+              loop, [] { return client_connection_limits(); }, [this](const auto &pending) { handleDirectory(pending); })
         , m_peers(
-              loop, [] { return connection_limits(); }, [this](const auto &pending) { handlePeer(pending); })
+              loop, [] { return client_connection_limits(); }, [this](const auto &pending) { handlePeer(pending); })
         , m_metricsPage(
-              loop, [] { return connection_limits(); }, [this](const auto &pending) { handleMetrics(pending); })
+              loop, [] { return client_connection_limits(); }, [this](const auto &pending) { handleMetrics(pending); })
         , m_timer(loop)
     {
     }
@@ -417,7 +417,7 @@
     member_table m_members;
     mesh_socket m_mesh;
     shared_knowledge m_knowledge;
-    connection_limits m_limits;
+    client_connection_limits m_limits;
     listener m_gate;
     listener m_readiness;
     listener m_directory;
--- a/src/flamingofield/http/listener.cpp
+++ b/src/flamingofield/http/listener.cpp
@@ -34,15 +34,6 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
-http_exchange_answer refusal(int status, std::string_view reason)
-{
-    http_exchange_answer answer;
-    answer.status = status;
-    answer.fields.add("Content-Type", "application/json");
-    answer.body = R"({"error":")" + std::string(reason) + "\"}";
-    return answer;
-}
-
 } // namespace
 
 struct listener::shared_state
@@ -112,7 +103,7 @@
     void tick(instant now)
     {
         const duration spent = now - m_since;
-        const connection_limits limits = m_owner->limits();
+        const client_connection_limits limits = m_owner->limits();
         switch (m_phase) {
         case phase::idle:
             if (spent > limits.idleTimeout) {
@@ -121,7 +112,7 @@
             break;
         case phase::reading:
             if (spent > (m_hasHead ? limits.bodyTimeout : limits.headerTimeout)) {
-                write(refusal(408, "the request was not complete in time"), true);
+                write(errorAnswer(408, "the request was not complete in time"), true);
             }
             break;
         case phase::writing:
@@ -202,7 +193,7 @@
     {
         enter(phase::reading);
         m_hasHead = false;
-        const connection_limits limits = m_owner->limits();
+        const client_connection_limits limits = m_owner->limits();
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         m_parser->body_limit(limits.bodyBytes);
@@ -265,12 +256,12 @@
     void refuseBadRequest(error_code failure)
     {
         if (failure == http::error::header_limit) {
-            write(refusal(431, "the header is too long"), true);
+            write(errorAnswer(431, "the header is too long"), true);
         } else if (failure == http::error::body_limit) {
-            write(refusal(413, "the body is too long"), true);
+            write(errorAnswer(413, "the body is too long"), true);
         } else if (failure.category() == make_error_code(http::error::bad_method).category() && failure != http::error::end_of_stream
                    && failure != http::error::partial_message) {
-            write(refusal(400, "not a sound HTTP request"), true);
+            write(errorAnswer(400, "not a sound HTTP request"), true);
         } else {
             close();
         }
--- a/src/flamingofield/http/listener.hpp
+++ b/src/flamingofield/http/listener.hpp
@@ -14,7 +14,7 @@
 namespace flamingofield {
 
 /// Bounds on one client connection.
-struct connection_limits
+struct client_connection_limits
 {
     std::size_t headerBytes = 16384;
     std::size_t bodyBytes = 8U << 20U;
@@ -43,7 +43,7 @@
 {
 public:
     using handler = std::function<void(const std::shared_ptr<pending_request> &)>;
-    using limits_source = std::function<connection_limits()>;
+    using limits_source = std::function<client_connection_limits()>;
 
     listener(boost::asio::io_context &loop, limits_source limits, handler onRequest);
     ~listener();
--- a/src/flamingofield/http/message.cpp
+++ b/src/flamingofield/http/message.cpp
@@ -31,6 +31,15 @@
 
 } // namespace
 
+http_exchange_answer errorAnswer(int status, std::string_view reason)
+{
+    http_exchange_answer answer;
+    answer.status = status;
+    answer.fields.add("Content-Type", "application/json");
+    answer.body = R"({"error":")" + std::string(reason) + "\"}";
+    return answer;
+}
+
 bool isSameName(std::string_view a, std::string_view b)
 {
     return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
--- a/src/flamingofield/http/message.hpp
+++ b/src/flamingofield/http/message.hpp
@@ -54,6 +54,9 @@
     std::string body;
 };
 
+/// An answer of the node itself: a status and a JSON body with the reason.
+http_exchange_answer errorAnswer(int status, std::string_view reason);
+
 /// True if the names are equal without case.
 bool isSameName(std::string_view a, std::string_view b);
 
--- a/src/flamingofield/mesh/member_table.cpp
+++ b/src/flamingofield/mesh/member_table.cpp
@@ -44,7 +44,7 @@
     m_self.isReady = isReady;
 }
 
-bool member_table::isLive(const member_row &row, instant now) const
+bool member_table::isLive(const mesh_member_row &row, instant now) const
 {
     return !row.isLeaving && now - row.heardAt < memberLease;
 }
@@ -54,7 +54,7 @@
     if (message.sender.address == m_self.address) {
         return false;
     }
-    member_row &row = m_rows[message.sender.address];
+    mesh_member_row &row = m_rows[message.sender.address];
     const bool wasLive = row.heardAt != instant{} && isLive(row, now);
     if (message.sender.incarnation >= row.member.incarnation || !wasLive) {
         row.member = message.sender;
@@ -67,7 +67,7 @@
         }
         const instant heardAt = now - milliseconds(told.ageMs);
         auto [position, isNew] = m_rows.try_emplace(told.address);
-        member_row &known = position->second;
+        mesh_member_row &known = position->second;
         const bool isNewer = isNew || told.incarnation > known.member.incarnation
             || (told.incarnation == known.member.incarnation && heardAt > known.heardAt && !known.isLeaving);
         if (isNewer) {
@@ -152,7 +152,7 @@
     return addresses;
 }
 
-duration member_table::intervalTo(const member_row &row, bool otherIsHub, bool selfIsHub, bool isBusy, instant now) const
+duration member_table::intervalTo(const mesh_member_row &row, bool otherIsHub, bool selfIsHub, bool isBusy, instant now) const
 {
     const bool isNear = row.member.dataCentre == m_self.dataCentre;
     if (!isLive(row, now)) {
@@ -174,7 +174,7 @@
     const bool selfIsHub = hubSet.count(m_self.address) != 0;
     std::size_t live = 0;
     for (auto position = m_rows.begin(); position != m_rows.end();) {
-        member_row &row = position->second;
+        mesh_member_row &row = position->second;
         if (now - row.heardAt > forgetAfter) {
             position = m_rows.erase(position);
             continue;
--- a/src/flamingofield/mesh/member_table.hpp
+++ b/src/flamingofield/mesh/member_table.hpp
@@ -10,7 +10,7 @@
 namespace flamingofield {
 
 /// A known node of the fleet.
-struct member_row
+struct mesh_member_row
 {
     mesh_member member;
     bool isLeaving = false;
@@ -81,14 +81,14 @@
     /// Members told at most; bounds a datagram.
     static constexpr std::size_t mostMembersTold = 64;
 
-    bool isLive(const member_row &row, instant now) const;
+    bool isLive(const mesh_member_row &row, instant now) const;
     std::vector<const mesh_member *> liveIn(const std::string &dataCentre, instant now) const;
     std::set<node_address> allHubs(instant now) const;
-    duration intervalTo(const member_row &row, bool otherIsHub, bool selfIsHub, bool isBusy, instant now) const;
+    duration intervalTo(const mesh_member_row &row, bool otherIsHub, bool selfIsHub, bool isBusy, instant now) const;
 
     mesh_member m_self;
     std::vector<node_address> m_seeds;
-    std::map<node_address, member_row> m_rows;
+    std::map<node_address, mesh_member_row> m_rows;
     std::map<node_address, instant> m_seedSentAt;
 };
 
--- /dev/null
+++ b/src/flamingofield/relay/internal/request_row.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "relay/relay.hpp"
+
+namespace flamingofield {
+
+/// Least delay that is told to a refused caller; room rarely comes sooner.
+constexpr milliseconds shortestReturn{150};
+
+/// One request of a caller from its arrival to its answer.
+struct relay::request_row
+{
+    std::uint64_t serial = 0;
+    std::shared_ptr<pending_request> pending;
+    std::shared_ptr<const active_config> config;
+    const forward_route *route = nullptr;
+    std::string service;
+    std::string id;
+    instant arrivedAt{};
+    instant giveUpAt{};
+    instant aimAt{};
+    int arrivals = 0; ///< Targets that the request reached, whether they ran it or not.
+    int runs = 0; ///< Targets that may have run it.
+    std::vector<std::string> tried;
+    std::shared_ptr<exchange> current;
+    std::uint64_t targetKey = 0;
+    instant sentAt{};
+    bool isOverdue = false;
+    bool isWaiting = false;
+    bool hasClientLeft = false;
+    bool isAnswered = false;
+
+    bool mayRepeat() const
+    {
+        return route->repeats == repeat_policy::idempotent;
+    }
+};
+
+/// Decimal text with two places.
+std::string number(double value);
+
+/// Whole milliseconds as text.
+std::string milliText(duration d);
+
+/// @return the number, or -1 if the text is none
+long long parseNumber(std::string_view text);
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/relay/relay_outcome.cpp
@@ -0,0 +1,280 @@
+#include "relay/internal/request_row.hpp"
+#include "report/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace flamingofield {
+
+namespace {
+
+/// Part of the caller's time that it may spend waiting before it comes back; callers follow no longer delays.
+constexpr double longestReturnShare = 1.0 / 3.0;
+/// Targets stop at their deadline a little before the node's own clock reaches it.
+constexpr milliseconds deadlineMargin{60};
+/// Time left that makes another attempt worthwhile, as a part of the usual work.
+constexpr double worthwhileShare = 0.7;
+
+load_report parseLoad(std::string_view text, instant now)
+{
+    load_report report;
+    const auto comma = text.find(',');
+    if (comma == std::string_view::npos) {
+        return report;
+    }
+    const long long running = parseNumber(text.substr(0, comma));
+    const long long waiting = parseNumber(text.substr(comma + 1, text.find(',', comma + 1) - comma - 1));
+    if (running >= 0 && waiting >= 0) {
+        report = {static_cast<int>(running), static_cast<int>(waiting), now};
+    }
+    return report;
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+std::string number(double value)
+{
+    std::array<char, 32> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed, 2).ptr;
+    return {text.data(), end};
+}
+
+std::string milliText(duration d)
+{
+    return std::to_string(toMilliseconds(d));
+}
+
+long long parseNumber(std::string_view text)
+{
+    long long value = -1;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    return parsed.ec == std::errc() ? value : -1;
+}
+
+void relay::exchangeEnded(std::uint64_t serial, std::uint64_t targetKey, exchange_result result)
+{
+    const instant now = std::chrono::steady_clock::now();
+    const auto found = m_requests.find(serial);
+    if (found == m_requests.end()) {
+        return;
+    }
+    request_row &row = *found->second;
+    const std::string service = row.service;
+    row.current = nullptr;
+    target_row *target = m_targets.find(targetKey);
+    const duration taken = now - row.sentAt;
+    row.arrivals += result.verdict == exchange_verdict::notSent ? 0 : 1;
+    if (result.verdict == exchange_verdict::answered) {
+        judgeAnswer(row, target, result, taken, now);
+    } else {
+        if (target != nullptr) {
+            m_targets.finished(*target, result.wasCancelled ? target_outcome::cancelled : target_outcome::broken, taken, usualWorkOf(row),
+                               now);
+        }
+        logEvent(log_level::warn, "exchange_failed",
+                 {{"id", row.id},
+                  {"target", row.tried.back()},
+                  {"step", result.problem.step},
+                  {"peer", result.problem.peer},
+                  {"reason", result.problem.reason},
+                  {"verdict", result.verdict == exchange_verdict::notSent ? "not_sent" : "may_have_run"},
+                  {"reused", result.wasReused ? "yes" : "no"},
+                  {"taken_ms", milliText(taken)}});
+        const bool didRun = result.verdict != exchange_verdict::notSent;
+        afterFailure(row, didRun, errorAnswer(502, "the target's answer was lost"), result.problem.step, now);
+    }
+    pump(service, now);
+}
+
+void relay::judgeAnswer(request_row &row, target_row *target, exchange_result &result, duration taken, instant now)
+{
+    http_exchange_answer &answer = result.answer;
+    const load_report load = parseLoad(answer.fields.value(m_names.serverLoad), now);
+    const bool isNotExecuted = answer.fields.has(m_names.notExecuted) || answer.status == 421;
+    const bool isSound
+        = answer.fields.has(m_names.seal) && !answer.fields.value(m_names.requestId).empty() && !answer.fields.has("Content-Encoding");
+    target_outcome outcome = target_outcome::served;
+    if (isNotExecuted) {
+        outcome = target_outcome::shed;
+    } else if (isSuccess(answer.status) && !isSound) {
+        outcome = target_outcome::broken;
+    } else if (answer.status >= 500) {
+        // A target that stops at the caller's deadline has not failed by itself.
+        outcome = answer.status == 504 && now + deadlineMargin >= row.giveUpAt ? target_outcome::cancelled : target_outcome::failed;
+    }
+    if (target != nullptr) {
+        if (load.at != instant{}) {
+            m_targets.reported(*target, load);
+        }
+        m_targets.finished(*target, outcome, taken, usualWorkOf(row), now);
+    }
+    if (outcome == target_outcome::served && isSuccess(answer.status)) {
+        m_work.observe(row.route->name, taken);
+    }
+    if (outcome != target_outcome::served) {
+        logEvent(log_level::info, "target_failed",
+                 {{"id", row.id},
+                  {"target", row.tried.back()},
+                  {"status", std::to_string(answer.status)},
+                  {"not_executed", isNotExecuted ? "yes" : "no"},
+                  {"taken_ms", milliText(taken)},
+                  {"sickness", target == nullptr ? "" : number(target->health.sickness(now))}});
+    }
+    switch (outcome) {
+    case target_outcome::served:
+        deliver(row, answer, "answered", now);
+        break;
+    case target_outcome::shed:
+        afterFailure(row, false, {}, "target refused", now);
+        break;
+    case target_outcome::broken:
+        afterFailure(row, true, errorAnswer(502, "the target's answer was not sound"), "unsound answer", now);
+        break;
+    case target_outcome::failed:
+    case target_outcome::cancelled:
+        afterFailure(row, true, answer, "target failed", now);
+        break;
+    }
+}
+
+bool relay::maySendAgain(request_row &row, bool wasSent, instant now)
+{
+    const auto worthwhile = std::chrono::duration_cast<duration>(usualWorkOf(row) * worthwhileShare);
+    if (row.hasClientLeft || row.isAnswered || row.giveUpAt - now < worthwhile) {
+        return false;
+    }
+    return !wasSent || m_retries.mayRepeat(row.service, m_share.nodes, now);
+}
+
+void relay::afterFailure(request_row &row, bool didRun, const http_exchange_answer &answer, std::string_view reason, instant now)
+{
+    row.runs += didRun ? 1 : 0;
+    const bool wasSent = row.arrivals > 0;
+    const bool isAllowed = !didRun || (row.mayRepeat() && row.runs < row.route->attempts);
+    const bool hasRunBefore = row.runs > 0 && !row.mayRepeat();
+    if (isAllowed && !hasRunBefore && maySendAgain(row, wasSent, now)) {
+        sendAgain(row, now);
+        return;
+    }
+    if (row.isAnswered || row.hasClientLeft) {
+        finish(row);
+    } else if (row.runs == 0) {
+        refuse(row, 503, reason, shortestReturn, now);
+    } else if (answer.status == 0) {
+        fail(row, 502, reason, now);
+    } else {
+        deliver(row, answer, "failed", now);
+    }
+}
+
+void relay::sendAgain(request_row &row, instant now)
+{
+    if (row.arrivals > 0) {
+        m_retries.countRepeat(row.service, now);
+        m_metrics.count("flamingofield_repeats_total", "service=\"" + row.service + "\"");
+    }
+    if (trySend(row, now, false)) {
+        return;
+    }
+    // All other targets may have been tried; a second visit is better than none.
+    row.tried.clear();
+    wait(row, now);
+}
+
+void relay::deliver(request_row &row, const http_exchange_answer &answer, std::string_view outcome, instant now)
+{
+    if (!row.isAnswered && !row.hasClientLeft) {
+        http_exchange_answer passed = answer;
+        passed.fields.removeHopByHop();
+        if (row.pending->request().method != "HEAD") {
+            passed.fields.remove("Content-Length");
+        }
+        row.pending->answer(passed);
+        const std::string route = row.route == nullptr ? "" : row.route->name;
+        logEvent(log_level::info, "request_answered",
+                 {{"id", row.id},
+                  {"route", route},
+                  {"outcome", std::string(outcome)},
+                  {"status", std::to_string(answer.status)},
+                  {"attempts", std::to_string(row.tried.size())},
+                  {"taken_ms", milliText(now - row.arrivedAt)}});
+        const std::string labels = "route=\"" + route + "\",outcome=\"" + std::string(outcome) + "\"";
+        m_metrics.count("flamingofield_answers_total", labels);
+        m_metrics.latency("flamingofield_answer_seconds", labels, now - row.arrivedAt);
+        row.isAnswered = true;
+    }
+    finish(row);
+}
+
+void relay::refuse(request_row &row, int status, std::string_view reason, duration retryAfter, instant now)
+{
+    http_exchange_answer answer = errorAnswer(status, reason);
+    const double left = std::max(0.0, toSeconds(row.giveUpAt - now)) * longestReturnShare;
+    const double wanted = std::max(toSeconds(retryAfter), toSeconds(shortestReturn));
+    // Returns are spread, so that callers refused together do not come back together.
+    const double spread = std::uniform_real_distribution<double>(0.8, 1.4)(m_random);
+    answer.fields.add("Retry-After", number(std::max(0.05, std::min(wanted * spread, left))));
+    answer.fields.add(m_names.requestId, row.id);
+    logEvent(log_level::warn, "request_refused",
+             {{"id", row.id},
+              {"service", row.service},
+              {"reason", std::string(reason)},
+              {"free_slots", std::to_string(row.service.empty() ? 0 : m_targets.freeSlotsOf(row.service, now))},
+              {"targets_age_ms", milliText(m_targetsAge)},
+              {"waited_ms", milliText(now - row.arrivedAt)}});
+    deliver(row, answer, "refused", now);
+}
+
+void relay::fail(request_row &row, int status, std::string_view reason, instant now)
+{
+    http_exchange_answer answer = errorAnswer(status, reason);
+    answer.fields.add(m_names.requestId, row.id);
+    logEvent(log_level::warn, "request_failed",
+             {{"id", row.id},
+              {"service", row.service},
+              {"status", std::to_string(status)},
+              {"reason", std::string(reason)},
+              {"target", row.tried.empty() ? "" : row.tried.back()},
+              {"config_version", row.config == nullptr ? "" : std::to_string(row.config->config.stamp.version)}});
+    deliver(row, answer, "error", now);
+}
+
+void relay::clientLeft(std::uint64_t serial)
+{
+    const auto found = m_requests.find(serial);
+    if (found == m_requests.end()) {
+        return;
+    }
+    request_row &row = *found->second;
+    row.hasClientLeft = true;
+    logEvent(log_level::info, "client_left",
+             {{"id", row.id},
+              {"service", row.service},
+              {"waiting", row.isWaiting ? "yes" : "no"},
+              {"target", row.tried.empty() ? "" : row.tried.back()}});
+    if (row.current == nullptr) {
+        finish(row);
+    } else if (row.mayRepeat()) {
+        row.current->cancel();
+    }
+    // Work that must not repeat runs to its end: breaking it off would leave it half done for a caller who cannot ask again.
+}
+
+void relay::finish(request_row &row)
+{
+    if (row.isWaiting) {
+        m_lines[row.service].remove(row.serial);
+        row.isWaiting = false;
+    }
+    if (row.current == nullptr) {
+        m_requests.erase(row.serial);
+    }
+}
+
+} // namespace flamingofield
--- a/src/flamingofield/route/forwarding_config.hpp
+++ b/src/flamingofield/route/forwarding_config.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/config_stamp.hpp"
 #include "core/time.hpp"
 
 #include <cstdint>
@@ -53,22 +54,6 @@
     milliseconds idleTimeout{15000};
 };
 
-/// Order of two configurations: the version, then the store's revision.
-struct config_stamp
-{
-    std::uint64_t version = 0;
-    std::uint64_t revision = 0;
-
-    bool operator<(const config_stamp &other) const
-    {
-        return version != other.version ? version < other.version : revision < other.revision;
-    }
-    bool operator==(const config_stamp &other) const
-    {
-        return version == other.version && revision == other.revision;
-    }
-};
-
 /// One configuration of routes, as a request sees it from its start to its end.
 struct forwarding_config
 {
