Wait with the stand-ins' awaitTrue; remove a time that nobody reads

Cause: the platform's stand-ins had a copy of awaitTrue, which standins/fleet.hpp already gives, and active_config kept the time of its taking up, which nothing reads, with a parameter handed down for it.

Ruled out: a change of behaviour: assertions and limits are the same; only the order of arguments differs.

Measured: 90 unit tests, 13 platform tests, format, and lint of the changed files pass.

--- a/src/flamingofield/edge/shared_knowledge.cpp
+++ b/src/flamingofield/edge/shared_knowledge.cpp
@@ -142,7 +142,7 @@
         m_watchAfter = read.value().second;
         m_configConfirmedAt = std::max(m_configConfirmedAt, asked);
         m_isConfigConfirmed = true;
-        takeConfig(read.value().first, "store", ended);
+        takeConfig(read.value().first, "store");
     });
 }
 
@@ -168,12 +168,12 @@
         m_configConfirmedAt = ended;
         m_isConfigConfirmed = true;
         if (end.value().change) {
-            takeConfig(*end.value().change, "store", ended);
+            takeConfig(*end.value().change, "store");
         }
     });
 }
 
-void shared_knowledge::takeConfig(const store_document &document, std::string_view source, instant now)
+void shared_knowledge::takeConfig(const store_document &document, std::string_view source)
 {
     if (m_config != nullptr && document.revision <= m_document.revision) {
         return;
@@ -191,7 +191,6 @@
     auto active = std::make_shared<active_config>();
     active->config = std::move(decoded.value());
     active->router = host_router(active->config.routes);
-    active->confirmedAt = now;
     m_document = document;
     m_config = active;
     logEvent(log_level::info, "config_taken_up",
@@ -241,7 +240,7 @@
         const auto text = answer.value().fields.value(revisionField);
         std::from_chars(text.data(), text.data() + text.size(), document.revision);
         document.bytes = answer.value().body;
-        takeConfig(document, "peer", std::chrono::steady_clock::now());
+        takeConfig(document, "peer");
     });
 }
 
--- a/src/flamingofield/edge/shared_knowledge.hpp
+++ b/src/flamingofield/edge/shared_knowledge.hpp
@@ -57,7 +57,7 @@
     void readTargets(instant now);
     void readConfig(instant now);
     void watchConfig(instant now);
-    void takeConfig(const store_document &document, std::string_view source, instant now);
+    void takeConfig(const store_document &document, std::string_view source);
     void takeTargets(target_snapshot snapshot, std::string_view source, instant confirmedAt, instant now);
     void storeAnswered(std::string_view call);
     void storeFailed(std::string_view call, const error &problem);
--- a/src/flamingofield/relay/relay.hpp
+++ b/src/flamingofield/relay/relay.hpp
@@ -34,7 +34,6 @@
 {
     forwarding_config config;
     host_router router;
-    instant confirmedAt{}; ///< When it was taken up.
 };
 
 /// This node's part of the fleet.
--- a/tests/system/platform_tests.cpp
+++ b/tests/system/platform_tests.cpp
@@ -1,3 +1,4 @@
+#include "fleet.hpp"
 #include "standins/platform_fleet.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -6,8 +7,8 @@
 #include <csignal>
 #include <thread>
 
-using platform_standins::await;
 using platform_standins::platform_fleet;
+using standins::awaitTrue;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -52,13 +53,15 @@
         platform_fleet fleet(4, 1);
         CPPUNIT_ASSERT(fleet.start());
         CPPUNIT_ASSERT(
-            await(seconds(3), [&] { return fleet.resolve(0, "dc-b").body.find(fleet.nodes[1].address + ":") != std::string::npos; }));
+            awaitTrue([&] { return fleet.resolve(0, "dc-b").body.find(fleet.nodes[1].address + ":") != std::string::npos; }, seconds(3)));
         fleet.nodes[1].process.signal(SIGKILL);
         // A dead node is left out as soon as its lease has run out.
-        CPPUNIT_ASSERT(await(seconds(4), [&] {
-            const auto answer = fleet.resolve(0, "dc-b");
-            return answer.status == 200 && answer.body.find(fleet.nodes[1].address + ":") == std::string::npos;
-        }));
+        CPPUNIT_ASSERT(awaitTrue(
+            [&] {
+                const auto answer = fleet.resolve(0, "dc-b");
+                return answer.status == 200 && answer.body.find(fleet.nodes[1].address + ":") == std::string::npos;
+            },
+            seconds(4)));
     }
 
     void runsUnsafeWorkOnceWhenAnswersAreLost()
@@ -118,7 +121,7 @@
         fleet.publish(2, {"/added/"});
         fleet.store.setBehaviour({});
         // Three seconds of stability and the apply time are what the platform grants.
-        CPPUNIT_ASSERT(await(seconds(5), [&] { return fleet.send(2, "POST", "/added/", "id-2").status == 200; }));
+        CPPUNIT_ASSERT(awaitTrue([&] { return fleet.send(2, "POST", "/added/", "id-2").status == 200; }, seconds(5)));
     }
 
     void findsChangesThatADroppedHistoryHides()
@@ -182,7 +185,7 @@
         for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
             fleet.startNode(i);
         }
-        CPPUNIT_ASSERT(await(seconds(3), [&] { return fleet.send(3, "POST", "/write/", "id-1").status == 200; }));
+        CPPUNIT_ASSERT(awaitTrue([&] { return fleet.send(3, "POST", "/write/", "id-1").status == 200; }, seconds(3)));
     }
 
     static std::string joined(const std::vector<std::string> &lines)
@@ -198,10 +201,12 @@
     static std::string linesOf(const platform_fleet &fleet, std::size_t node, const std::string &id, const std::string &event)
     {
         std::string text;
-        await(seconds(3), [&] {
-            text = joined(fleet.logLines(node, "id=" + id + " "));
-            return text.find("event=" + event) != std::string::npos;
-        });
+        awaitTrue(
+            [&] {
+                text = joined(fleet.logLines(node, "id=" + id + " "));
+                return text.find("event=" + event) != std::string::npos;
+            },
+            seconds(3));
         return text;
     }
 
