Add a randomized soak of real processes with faults from outside

Cause: promises were tested one fault at a time; the users ask for a soak in which signals, restarts, changes and link faults come in series and overlap.

The soak starts flamingod-platform as processes, puts a fault proxy before each node, before each backend server and between each node and the store, and injects twelve kinds of faults at random times that overlap. It checks from what callers and backend servers saw: work that must not repeat runs once at most and never after a refusal, answers are whole and belong to their request, proper requests are not rejected, requests end by their route's timeout, configurations are in force in time and do not revert, leaving servers get nothing new, planned stops cut nothing, all nodes serve again afterwards. One run in four has planned work alone, so that checks that need a calm fleet see cases.

Weighed: a proxy for the datagrams between nodes was left out; they go by VM address and one port, so only stopped and paused processes silence them. Clocks are not changed: nothing decides by the time of day.

--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,109 @@
+#include "soak/soak_callers.hpp"
+
+#include "http/exchange.hpp"
+#include "soak/soak_checks.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <random>
+
+namespace soak {
+
+using namespace flamingofield;
+using platform_standins::platform_fleet;
+
+namespace {
+
+/// Pause between two requests of one caller, on average.
+constexpr double meanPauseMs = 40.0;
+/// A request that is neither answered nor closed by then is given up.
+constexpr milliseconds patience = callerDeadline + milliseconds(1500);
+/// Part of the requests that ask for a path of a late configuration.
+constexpr double probeShare = 0.15;
+
+/// Sends one request and waits for its end, on an event loop that belongs to the calling thread.
+void perform(boost::asio::io_context &loop, connection_pool &pool, const endpoint &gate, const http_exchange_request &request,
+             call_record &record)
+{
+    exchange_options options;
+    options.poolKey = toString(gate);
+    options.longestIdle = seconds(10);
+    auto run = std::make_shared<exchange>(loop, pool, gate, options);
+    boost::asio::steady_timer timer(loop, patience);
+    record.sentAt = std::chrono::steady_clock::now();
+    run->start(request, [&](exchange_result result) {
+        timer.cancel();
+        record.wasSent = result.verdict != exchange_verdict::notSent;
+        record.problem = result.wasCancelled ? "no answer" : result.problem.reason;
+        record.status = result.verdict == exchange_verdict::answered ? result.answer.status : 0;
+        record.hasSeal = result.answer.fields.has(platform_fleet::sealField);
+        record.answeredId = result.answer.fields.value(platform_fleet::idField);
+        record.body = std::move(result.answer.body);
+    });
+    timer.async_wait([run](boost::system::error_code aborted) {
+        if (!aborted) {
+            run->cancel();
+        }
+    });
+    loop.restart();
+    loop.run();
+    record.endedAt = std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+callers::callers(const platform_fleet &fleet, std::size_t count, std::uint64_t seed, const std::atomic<int> &newestVersion)
+    : m_fleet(fleet)
+    , m_newestVersion(newestVersion)
+    , m_records(count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        m_threads.emplace_back([this, i, seed] { run(i, seed * 1000 + i); });
+    }
+}
+
+callers::~callers()
+{
+    stop();
+}
+
+std::vector<call_record> callers::stop()
+{
+    m_isStopped = true;
+    std::vector<call_record> all;
+    for (std::size_t i = 0; i < m_threads.size(); ++i) {
+        if (m_threads[i].joinable()) {
+            m_threads[i].join();
+            all.insert(all.end(), m_records[i].begin(), m_records[i].end());
+        }
+    }
+    return all;
+}
+
+void callers::run(std::size_t index, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> unit(0.0, 1.0);
+    std::exponential_distribution<double> pause(1.0 / meanPauseMs);
+    boost::asio::io_context loop(1);
+    connection_pool pool;
+    for (int number = 0; !m_isStopped; ++number) {
+        call_record record;
+        record.id = "c" + std::to_string(index) + "-" + std::to_string(number);
+        record.node = random() % m_fleet.nodes.size();
+        record.mayRepeat = unit(random) < 0.3;
+        const int newest = m_newestVersion;
+        if (newest > firstVersion && unit(random) < probeShare) {
+            record.mayRepeat = false;
+            record.version = firstVersion + 1 + static_cast<int>(random() % static_cast<std::uint64_t>(newest - firstVersion));
+        }
+        const std::string path = record.version != 0 ? pathOfVersion(record.version) : record.mayRepeat ? "/read/" : "/write/";
+        const auto request = platform_fleet::requestFor(record.mayRepeat ? "GET" : "POST", path, record.id, callerDeadline.count());
+        perform(loop, pool, m_fleet.gateOf(record.node), request, record);
+        m_records[index].push_back(std::move(record));
+        std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(pause(random)));
+    }
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/soak_callers.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "soak/soak_record.hpp"
+#include "standins/platform_fleet.hpp"
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+namespace soak {
+
+/// Callers that keep their connections open, each on a thread of its own, and note every request.
+class callers
+{
+public:
+    /// @param newestVersion the newest configuration that the store acknowledged
+    callers(const platform_standins::platform_fleet &fleet, std::size_t count, std::uint64_t seed, const std::atomic<int> &newestVersion);
+    ~callers();
+    callers(const callers &) = delete;
+    callers &operator=(const callers &) = delete;
+
+    /// Ends all callers after the requests that are under way.
+    /// @return what they noted
+    std::vector<call_record> stop();
+
+private:
+    void run(std::size_t index, std::uint64_t seed);
+
+    const platform_standins::platform_fleet &m_fleet;
+    const std::atomic<int> &m_newestVersion;
+    std::atomic<bool> m_isStopped{false};
+    std::vector<std::vector<call_record>> m_records; ///< By caller.
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace soak
