Choose hubs by processor, one a data centre; learn how long failing phases last

Nodes that answered a probe also wrote to all hubs of all data centres.

Change: members tell their processor; hubs are those with the most of it, as many as the weakest of them needs to carry its part of 5%; one reader of the store for all data centres; other nodes write to their own hubs only. Each target has a first trier. Resets of new connections are told to peers as suspicions. The floor share is read from the settings.

--- a/src/flamingofield/balance/health_filter.cpp
+++ b/src/flamingofield/balance/health_filter.cpp
@@ -7,9 +7,10 @@
 
 double health_filter::sickness(instant now) const
 {
-    constexpr double equilibrium = sickeningRate / (sickeningRate + recoveryRate);
+    const double total = m_rates.sickening + m_rates.recovery;
+    const double equilibrium = m_rates.sickening / total;
     const double elapsed = std::max(0.0, toSeconds(now - m_updated));
-    const double kept = m_updated == instant{} ? 0.0 : std::exp(-(sickeningRate + recoveryRate) * elapsed);
+    const double kept = m_updated == instant{} ? 0.0 : std::exp(-total * elapsed);
     return m_updated == instant{} ? m_sickness : equilibrium + (m_sickness - equilibrium) * kept;
 }
 
@@ -25,11 +26,6 @@
     m_updated = now;
 }
 
-void health_filter::reset()
-{
-    *this = health_filter();
-}
-
 double slowness_filter::fade(instant now) const
 {
     return m_updated == instant{} ? 0.0 : std::exp(-std::max(0.0, toSeconds(now - m_updated)) / memorySeconds);
--- a/src/flamingofield/balance/health_filter.hpp
+++ b/src/flamingofield/balance/health_filter.hpp
@@ -11,27 +11,39 @@
     double whenSound; ///< Probability of the observation at a sound target.
 };
 
-/// A target's own failure answer. Gray phases fail between a third and all of the requests, sound targets one in eighty.
-constexpr evidence_weight failedAnswer{0.55, 0.02};
+/// A target's own failure answer. Gray phases fail between a third and all of the requests, three quarters as a rule; sound
+/// targets fail one in eighty.
+constexpr evidence_weight failedAnswer{0.75, 0.014};
 /// A success.
-constexpr evidence_weight goodAnswer{0.45, 0.98};
-/// A request that has taken several times its route's usual time. Long work happens, so it weighs less than a failure.
-constexpr evidence_weight overdueAnswer{0.45, 0.03};
+constexpr evidence_weight goodAnswer{0.25, 0.986};
+/// A request that has taken several times its route's usual time, or whose connection the target reset. Long work and lost
+/// connections happen at sound targets, so it weighs less than a failure.
+constexpr evidence_weight suspiciousEnd{0.45, 0.03};
 /// The same, seen by another node; the path between the two may be at fault instead of the target.
-constexpr evidence_weight toldOverdueAnswer{0.3, 0.1};
+constexpr evidence_weight toldSuspicion{0.3, 0.1};
 /// A refused, reset or silent connection.
 constexpr evidence_weight brokenConnection{0.6, 0.03};
 
+/// Mean rates at which targets change, per second.
+struct phase_rates
+{
+    double sickening; ///< Sound targets turn sick.
+    double recovery; ///< Sick targets recover.
+};
+
+/// Gray phases last about ten seconds and hold three targets in ten at a time.
+constexpr phase_rates usualPhases{0.035, 0.08};
+
 /// Probability that a target is sick, as a two-state filter: sound targets turn sick and sick ones recover at known mean
 /// rates, and each observation shifts the odds. Without observations a suspicion therefore fades by itself, which brings
 /// trial requests back without a timer for each target.
 class health_filter
 {
 public:
-    /// Mean rate at which a sound target turns sick, per second.
-    static constexpr double sickeningRate = 0.04;
-    /// Mean rate at which a sick target recovers, per second; gray phases last some seconds.
-    static constexpr double recoveryRate = 0.25;
+    explicit health_filter(const phase_rates &rates = usualPhases)
+        : m_rates(rates)
+    {
+    }
 
     /// Probability of sickness at a time not before the last observation.
     double sickness(instant now) const;
@@ -39,12 +51,10 @@
     /// Shifts the odds by one observation.
     void observe(evidence_weight weight, instant now);
 
-    /// Forgets all observations, as after a restart of the target.
-    void reset();
-
 private:
     static constexpr double initialSickness = 0.05;
 
+    phase_rates m_rates;
     double m_sickness = initialSickness;
     instant m_updated{};
 };
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -18,7 +18,7 @@
 /// Changes are told for this long, so that lost datagrams are made up for.
 constexpr milliseconds tellTime{1500};
 /// Of a sick target's requests, the part that fails.
-constexpr double sickFailureShare = 0.65;
+constexpr double sickFailureShare = 0.75;
 /// Expected worth lost to traffic between data centres, as a share of a request's worth.
 constexpr double remotePenalty = 0.06;
 /// A request waits rather than take a free target that promises less than waiting by more than this.
@@ -33,16 +33,16 @@
 /// which fails within milliseconds does not use up the budget for repeats.
 constexpr double repeatWorth = 0.4;
 /// Targets that promise less than the best one by more than this are not counted as room for urgent work.
-constexpr double soundMargin = 0.2;
+constexpr double soundMargin = 0.3;
 /// Each finished request lowers the weight of earlier ones in the mean work of a slot by this factor.
 constexpr double occupancyMemory = 0.98;
-/// A target that nobody used for this long gets the next request if too many are unused; below the two seconds within which
-/// most targets of a service must see work.
-constexpr milliseconds trialInterval{1600};
+/// A target that nobody used for this long gets the next request of its first trier if too many are unused; below the two
+/// seconds within which most targets of a service must see work.
+constexpr milliseconds trialInterval{1450};
 /// The same for idempotent requests, the cheaper trials, which therefore come first.
-constexpr milliseconds trialIntervalIdempotent{1200};
-/// Part of a service's undisturbed targets that may stay unused, the sickest first; the platform asks for seven tenths in use.
-constexpr double unusedShare = 0.3;
+constexpr milliseconds trialIntervalIdempotent{1100};
+/// Added for the other triers, who step in if the first one has no request; above the time that news takes between them.
+constexpr milliseconds otherTrierDelay{250};
 /// Slowness above which a target counts as disturbed; work times alone rarely average so far from the usual.
 constexpr double disturbedSlowness = 2.5;
 /// A request that was broken off after this many times the usual work counts as a disturbance.
@@ -191,11 +191,20 @@
     return candidates;
 }
 
+duration target_table::trialAfter(const target_row &row, bool mayRepeat) const
+{
+    if (m_trials.triers == 0) {
+        return duration::max();
+    }
+    const bool isFirst = row.key % m_trials.triers == m_trials.index;
+    return (mayRepeat ? trialIntervalIdempotent : trialInterval) + (isFirst ? milliseconds(0) : otherTrierDelay);
+}
+
 std::size_t target_table::mayStayUnused(const std::vector<candidate> &candidates, instant now) const
 {
     const auto undisturbed = std::count_if(candidates.begin(), candidates.end(),
                                            [&](const candidate &each) { return now - each.row->disturbedAt > disturbanceTime; });
-    return static_cast<std::size_t>(unusedShare * static_cast<double>(undisturbed));
+    return static_cast<std::size_t>((1.0 - m_floorShare) * static_cast<double>(undisturbed));
 }
 
 std::optional<target_choice> target_table::choose(const target_query &query, instant now)
@@ -206,7 +215,6 @@
     }
     ++m_choices;
     const auto candidates = candidatesFor(query, keys->second, now);
-    const duration interval = query.mayRepeat ? trialIntervalIdempotent : trialInterval;
     // From the sickest to the soundest, the first few undisturbed ones without work are let be.
     std::size_t unusedLeft = mayStayUnused(candidates, now);
     target_choice best;
@@ -226,7 +234,7 @@
         freeByPromise.emplace_back(promise, slots - each.inFlight);
         const double distance = each.row->entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
         const double utility = promise - distance - loadPenalty * static_cast<double>(each.inFlight) / slots;
-        bool isTrial = m_makesTrials && now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > interval;
+        bool isTrial = now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > trialAfter(*each.row, query.mayRepeat);
         if (isTrial && unusedLeft > 0) {
             --unusedLeft;
             isTrial = false;
@@ -300,6 +308,11 @@
         row.path.observe(brokenConnection, now);
         row.disturbedAt = now;
         break;
+    case target_outcome::reset:
+        row.path.observe(goodAnswer, now);
+        row.disturbedAt = now;
+        suspect(row, now);
+        break;
     case target_outcome::cancelled:
         if (taken > usualWork * disturbedDelay) {
             row.disturbedAt = now;
@@ -309,10 +322,10 @@
     row.toldAt = now;
 }
 
-void target_table::overdue(target_row &row, instant now)
+void target_table::suspect(target_row &row, instant now)
 {
-    row.health.observe(overdueAnswer, now);
-    ++row.overdueAnswers;
+    row.health.observe(suspiciousEnd, now);
+    ++row.suspicions;
     row.toldAt = now;
 }
 
@@ -350,7 +363,7 @@
         };
         repeat(row.badAnswers, before.badAnswers, failedAnswer);
         repeat(row.goodAnswers, before.goodAnswers, goodAnswer);
-        repeat(row.overdueAnswers, before.overdueAnswers, toldOverdueAnswer);
+        repeat(row.suspicions, before.suspicions, toldSuspicion);
     }
     for (auto position = m_peers.begin(); position != m_peers.end();) {
         constexpr seconds forgetPeer{30};
@@ -364,7 +377,7 @@
     for (const auto &[key, row] : m_rows) {
         const bool isRecent = row.toldAt != instant{} && now - row.toldAt < tellTime;
         if (row.own > 0 || isRecent) {
-            told.push_back({key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.overdueAnswers});
+            told.push_back({key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.suspicions});
         }
     }
     return told;
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -18,7 +18,8 @@
     served, ///< A whole success.
     failed, ///< A whole answer with a failure that counts as run.
     shed, ///< The target said that it did not run the request.
-    broken, ///< The connection failed, was reset or went silent.
+    broken, ///< The connection failed or went silent.
+    reset, ///< The target ended a connection that was made for this request.
     cancelled, ///< The node broke off; says nothing about the target.
 };
 
@@ -47,7 +48,7 @@
     slowness_filter slowness;
     std::uint32_t goodAnswers = 0; ///< Cumulative, own, told to other nodes.
     std::uint32_t badAnswers = 0; ///< Cumulative, own, told to other nodes.
-    std::uint32_t overdueAnswers = 0; ///< Cumulative, own, told to other nodes.
+    std::uint32_t suspicions = 0; ///< Overdue and reset requests; cumulative, own, told to other nodes.
     instant toldAt{}; ///< Last change of what is told.
 };
 
@@ -58,7 +59,7 @@
     std::uint16_t inFlight = 0;
     std::uint32_t goodAnswers = 0;
     std::uint32_t badAnswers = 0;
-    std::uint32_t overdueAnswers = 0;
+    std::uint32_t suspicions = 0;
 };
 
 /// The request for which a target is sought.
@@ -94,6 +95,14 @@
     bool isTrial = false; ///< Chosen because nobody has used it for a while.
 };
 
+/// This node's part of the trials of unused targets. Only nodes that hear of all others' requests know which ones are unused;
+/// each target has one of them as its first trier, so that they do not all try it at once.
+struct trial_duty
+{
+    std::size_t triers = 0; ///< Nodes that make trials; zero if this one makes none.
+    std::size_t index = 0; ///< This node's place among them.
+};
+
 /// Table of all targets; the functions that decide where work goes read it. No network, no clock.
 class target_table
 {
@@ -115,17 +124,22 @@
     void started(target_row &row);
     void finished(target_row &row, target_outcome outcome, duration taken, duration usualWork, instant now);
 
-    /// Sets whether this node tries targets that nobody uses. Only nodes that hear of all others' requests know which ones.
-    void setTrials(bool areMade)
+    void setTrials(const trial_duty &duty)
+    {
+        m_trials = duty;
+    }
+
+    /// Sets the part of a service's undisturbed targets that must stay in use; the sickest of them may be left out.
+    void setFloorShare(double share)
     {
-        m_makesTrials = areMade;
+        m_floorShare = share;
     }
 
     /// True if what is told has changed so much since the last call that peers should hear at once.
     bool takeUrgentNews();
 
-    /// Counts a request that has been running for several times the usual time, once.
-    void overdue(target_row &row, instant now);
+    /// Counts a request that has been running for several times the usual time, once, or one whose connection was reset.
+    void suspect(target_row &row, instant now);
 
     void reported(target_row &row, load_report report);
 
@@ -158,6 +172,8 @@
 
     struct candidate;
 
+    /// How long a target may be unused before this node tries it.
+    duration trialAfter(const target_row &row, bool mayRepeat) const;
     std::size_t mayStayUnused(const std::vector<candidate> &candidates, instant now) const;
     std::vector<candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
     /// Time until one of a busy target's slots becomes free.
@@ -171,7 +187,8 @@
     std::uint64_t m_seed;
     std::uint64_t m_choices = 0;
     bool m_hasUrgentNews = false;
-    bool m_makesTrials = true;
+    trial_duty m_trials{1, 0};
+    double m_floorShare = 0.7;
     std::unordered_map<std::uint64_t, target_row> m_rows;
     std::unordered_map<std::string, std::vector<std::uint64_t>> m_byService;
     std::map<std::uint64_t, peer_counts> m_peers;
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -56,6 +56,11 @@
     return addresses;
 }
 
+std::uint32_t capacityOf(const edge_settings &settings)
+{
+    return static_cast<std::uint32_t>(std::max(1.0, settings.cores * mesh_member::wholeCore));
+}
+
 http_exchange_answer statusOnly(int status)
 {
     http_exchange_answer answer;
@@ -77,7 +82,8 @@
         , m_targets(m_settings.dataCentre, hashOf(m_settings.address))
         , m_retries(m_settings.retries)
         , m_relay(loop, m_surface.fields, m_targets, m_retries, m_connections, m_metrics)
-        , m_members({toNodeAddress(m_settings.address), m_settings.dataCentre, m_incarnation, false, 0}, toNodeAddresses(m_settings.seeds))
+        , m_members({toNodeAddress(m_settings.address), m_settings.dataCentre, m_incarnation, false, capacityOf(m_settings), 0},
+                    toNodeAddresses(m_settings.seeds))
         , m_mesh(loop, [this](const mesh_message &message) { heard(message); })
         , m_knowledge(
               std::move(store), [this](node_address peer, const std::string &path, auto onEnd) { fetch(peer, path, std::move(onEnd)); },
@@ -99,6 +105,7 @@
 
     result<void> start()
     {
+        m_targets.setFloorShare(m_settings.floorShare);
         const endpoint mesh{m_settings.address, m_settings.meshPort};
         BOOST_OUTCOME_TRYV(m_mesh.start(mesh));
         BOOST_OUTCOME_TRYV(m_peers.start(mesh));
@@ -127,6 +134,7 @@
         m_settings.retries = settings.retries;
         m_settings.gracePeriod = settings.gracePeriod;
         m_retries.setTerms(settings.retries);
+        m_targets.setFloorShare(settings.floorShare);
         logEvent(log_level::info, "reloaded", {{"retry_ratio", std::to_string(settings.retries.ratio)}});
     }
 
@@ -183,7 +191,7 @@
     void updateRoles(instant now)
     {
         m_members.setReady(isReady());
-        m_rank = m_members.rank(now);
+        m_rank = m_members.readerRank(now);
         m_hubs = m_members.readyHubs(now);
         const bool isHub
             = std::any_of(m_hubs.begin(), m_hubs.end(), [&](const mesh_member &hub) { return hub.address == m_members.self().address; });
@@ -194,10 +202,21 @@
                 {{"rank", std::to_string(m_rank)}, {"live", std::to_string(m_members.live(now))}, {"hubs", std::to_string(m_hubs.size())}});
         }
         const std::size_t nodes = std::max<std::size_t>(1, m_hubs.size() + (isHub ? 0 : 1));
-        m_targets.setTrials(isHub);
+        m_targets.setTrials(trialDuty());
         m_relay.setShare({1.0 / static_cast<double>(nodes), nodes});
     }
 
+    /// Hubs share the trials of unused targets; other nodes do not hear enough to make any.
+    trial_duty trialDuty() const
+    {
+        const auto self
+            = std::find_if(m_hubs.begin(), m_hubs.end(), [&](const mesh_member &hub) { return hub.address == m_members.self().address; });
+        if (self == m_hubs.end()) {
+            return {};
+        }
+        return {m_hubs.size(), static_cast<std::size_t>(self - m_hubs.begin())};
+    }
+
     /// @return true if the process is done
     bool proceedStop(instant now)
     {
--- a/src/flamingofield/edge/edge_settings.hpp
+++ b/src/flamingofield/edge/edge_settings.hpp
@@ -23,6 +23,7 @@
     std::string address; ///< This VM's IPv4 address, by which other nodes know it.
     std::string dataCentre;
     std::string region;
+    double cores = 1.0; ///< Processor of this VM, in cores.
     endpoint gate; ///< Where callers send requests.
     endpoint readiness; ///< Where the platform asks whether the node is ready.
     endpoint directory; ///< Where callers ask for addresses.
@@ -30,6 +31,7 @@
     std::uint16_t meshPort = 0; ///< UDP and TCP between nodes, the same on all VMs.
     std::vector<std::string> seeds; ///< IPv4 addresses of nodes to ask first; they may be down.
     retry_terms retries;
+    double floorShare = 0.7; ///< Part of a service's undisturbed targets that must stay in use.
     milliseconds heartbeat{1500}; ///< Interval at which targets renew their registration.
     seconds gracePeriod{6}; ///< From the planned stop to the end by force.
     seconds longestAddressTtl{5}; ///< Bound on the time for which callers keep an address answer.
--- a/src/flamingofield/mesh/member_table.cpp
+++ b/src/flamingofield/mesh/member_table.cpp
@@ -3,7 +3,6 @@
 #include "core/hash.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 namespace flamingofield {
@@ -12,6 +11,8 @@
 
 /// Between hubs of one data centre, where traffic is free: the age of what they know of each other's slots.
 constexpr milliseconds nearHubInterval{60};
+/// From a node with requests in flight that is no hub to its hubs.
+constexpr milliseconds busyMemberInterval{200};
 /// Between hubs of different data centres, where bytes are paid for.
 constexpr milliseconds farHubInterval{200};
 /// From a hub to the other nodes of its data centre; keeps their news well below the two seconds in which it must act.
@@ -79,6 +80,15 @@
     return !wasLive;
 }
 
+bool member_table::isBefore(const mesh_member &a, const mesh_member &b)
+{
+    // Nodes that are not ready yet serve only where no others do.
+    if (a.isReady != b.isReady) {
+        return a.isReady;
+    }
+    return a.capacity != b.capacity ? a.capacity > b.capacity : orderOf(a) < orderOf(b);
+}
+
 std::vector<const mesh_member *> member_table::liveIn(const std::string &dataCentre, instant now) const
 {
     std::vector<const mesh_member *> live;
@@ -90,20 +100,24 @@
     if (m_self.dataCentre == dataCentre) {
         live.push_back(&m_self);
     }
-    std::sort(live.begin(), live.end(), [](const mesh_member *a, const mesh_member *b) {
-        // Nodes that are not ready yet serve as hubs only where no others are.
-        return a->isReady != b->isReady ? a->isReady : orderOf(*a) < orderOf(*b);
-    });
+    std::sort(live.begin(), live.end(), [](const mesh_member *a, const mesh_member *b) { return isBefore(*a, *b); });
     return live;
 }
 
 std::vector<node_address> member_table::hubs(const std::string &dataCentre, instant now) const
 {
     const auto live = liveIn(dataCentre, now);
-    const auto wanted = std::max(leastHubs, static_cast<std::size_t>(std::ceil(hubShare * static_cast<double>(live.size()))));
+    double total = 0.0;
+    for (const mesh_member *member : live) {
+        total += member->capacity;
+    }
     std::vector<node_address> addresses;
-    for (std::size_t i = 0; i < std::min(wanted, live.size()); ++i) {
-        addresses.push_back(live[i]->address);
+    for (const mesh_member *member : live) {
+        addresses.push_back(member->address);
+        const double usable = static_cast<double>(addresses.size()) * member->capacity;
+        if (addresses.size() >= leastHubs && usable >= hubShare * total) {
+            break;
+        }
     }
     return addresses;
 }
@@ -126,16 +140,17 @@
     return std::find(addresses.begin(), addresses.end(), m_self.address) != addresses.end();
 }
 
-std::size_t member_table::rank(instant now) const
+std::size_t member_table::readerRank(instant now) const
 {
+    const std::set<node_address> hubSet = allHubs(now);
+    if (hubSet.count(m_self.address) != 0) {
+        return static_cast<std::size_t>(std::count_if(hubSet.begin(), hubSet.end(), [&](node_address address) {
+            return address != m_self.address && isBefore(m_rows.at(address).member, m_self);
+        }));
+    }
     const auto live = liveIn(m_self.dataCentre, now);
     const auto found = std::find_if(live.begin(), live.end(), [&](const mesh_member *member) { return member->address == m_self.address; });
-    return static_cast<std::size_t>(found - live.begin());
-}
-
-bool member_table::isReader(instant now) const
-{
-    return rank(now) == 0;
+    return hubSet.size() + static_cast<std::size_t>(found - live.begin());
 }
 
 std::set<node_address> member_table::allHubs(instant now) const
@@ -158,13 +173,14 @@
     if (!isLive(row, now)) {
         return row.isLeaving || (!selfIsHub && !isNear) ? duration::max() : duration(lostInterval);
     }
-    if (otherIsHub && (selfIsHub || isBusy)) {
+    if (otherIsHub && selfIsHub) {
         return isNear ? nearHubInterval : farHubInterval;
     }
     if (selfIsHub && isNear) {
         return hubToMemberInterval;
     }
-    return otherIsHub && isNear ? duration(memberInterval) : duration::max();
+    // What few requests other nodes have in flight is not worth messages between data centres.
+    return otherIsHub && isNear ? duration(isBusy ? busyMemberInterval : memberInterval) : duration::max();
 }
 
 std::vector<node_address> member_table::takeDue(bool isBusy, instant now)
--- a/src/flamingofield/mesh/member_table.hpp
+++ b/src/flamingofield/mesh/member_table.hpp
@@ -20,8 +20,9 @@
 
 /// Nodes of the fleet and who speaks to whom.
 ///
-/// In each data centre the first few live nodes by a fixed order are hubs. Callers are directed to hubs, so that a few
-/// nodes see enough work to judge targets and share slots; all other nodes stay ready as their replacements. Hubs speak to
+/// In each data centre a few live nodes are hubs: those with the most processor first, equals by a fixed order. Callers are
+/// directed to hubs, so that a few nodes see enough work to judge targets and share slots; all other nodes stay ready as
+/// their replacements. Callers spread evenly over the hubs, so there are enough of them that the weakest carries its part. Hubs speak to
 /// all hubs and to the nodes of their own data centre; others speak to their own hubs. Messages between data centres,
 /// which users pay for, therefore grow with the number of hubs alone. No network, no clock.
 class member_table
@@ -46,11 +47,9 @@
 
     bool isHub(instant now) const;
 
-    /// True for the one node of its data centre that reads the store for the others.
-    bool isReader(instant now) const;
-
-    /// Position of this node among the live ones of its data centre.
-    std::size_t rank(instant now) const;
+    /// Position of this node among those that read the store for the others; the one at 0 does. Hubs of all data centres come
+    /// first, in the same order everywhere, then the other nodes of the own data centre.
+    std::size_t readerRank(instant now) const;
 
     /// Addresses to which a message is due; they count as sent.
     /// @param isBusy this node has requests in flight, of which the hubs must know
@@ -75,15 +74,17 @@
     std::size_t live(instant now) const;
 
 private:
-    /// Part of a data centre's nodes that are hubs.
-    static constexpr double hubShare = 0.1;
-    static constexpr std::size_t leastHubs = 2;
+    /// Part of a data centre's processor that the hubs must have, each counted as the weakest of them.
+    static constexpr double hubShare = 0.05;
+    static constexpr std::size_t leastHubs = 1;
     /// Members told at most; bounds a datagram.
     static constexpr std::size_t mostMembersTold = 64;
 
     bool isLive(const mesh_member_row &row, instant now) const;
     std::vector<const mesh_member *> liveIn(const std::string &dataCentre, instant now) const;
     std::set<node_address> allHubs(instant now) const;
+    /// Order in which members serve as hubs and readers.
+    static bool isBefore(const mesh_member &a, const mesh_member &b);
     duration intervalTo(const mesh_member_row &row, bool otherIsHub, bool selfIsHub, bool isBusy, instant now) const;
 
     mesh_member m_self;
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// First element of each message; changes with its layout.
-constexpr int messageFormat = 2;
+constexpr int messageFormat = 3;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -48,8 +48,9 @@
 
 void pack(packer &out, const mesh_member &member)
 {
-    out.pack_array(5);
-    out.pack(member.address).pack(member.dataCentre).pack(member.incarnation).pack(member.isReady).pack(member.ageMs);
+    out.pack_array(6);
+    out.pack(member.address).pack(member.dataCentre).pack(member.incarnation).pack(member.isReady).pack(member.capacity);
+    out.pack(member.ageMs);
 }
 
 mesh_member unpackMember(const msgpack::object &object)
@@ -60,6 +61,7 @@
     member.dataCentre = in.as<std::string>();
     member.incarnation = in.as<std::uint64_t>();
     member.isReady = in.as<bool>();
+    member.capacity = in.as<std::uint32_t>();
     member.ageMs = in.as<std::uint32_t>();
     return member;
 }
@@ -88,7 +90,7 @@
 void pack(packer &out, const told_target &target)
 {
     out.pack_array(5);
-    out.pack(target.key).pack(target.inFlight).pack(target.goodAnswers).pack(target.badAnswers).pack(target.overdueAnswers);
+    out.pack(target.key).pack(target.inFlight).pack(target.goodAnswers).pack(target.badAnswers).pack(target.suspicions);
 }
 
 told_target unpackTold(const msgpack::object &object)
@@ -99,7 +101,7 @@
     target.inFlight = in.as<std::uint16_t>();
     target.goodAnswers = in.as<std::uint32_t>();
     target.badAnswers = in.as<std::uint32_t>();
-    target.overdueAnswers = in.as<std::uint32_t>();
+    target.suspicions = in.as<std::uint32_t>();
     return target;
 }
 
--- a/src/flamingofield/mesh/mesh_message.hpp
+++ b/src/flamingofield/mesh/mesh_message.hpp
@@ -22,7 +22,10 @@
     std::string dataCentre;
     std::uint64_t incarnation = 0;
     bool isReady = false;
+    std::uint32_t capacity = wholeCore; ///< Processor that the member has, in thousandths of a core.
     std::uint32_t ageMs = 0; ///< Since the sender, or whoever told it, heard the member.
+
+    static constexpr std::uint32_t wholeCore = 1000;
 };
 
 /// What a node knows of the state that all nodes share, and how old that is.
--- a/src/flamingofield/relay/relay.cpp
+++ b/src/flamingofield/relay/relay.cpp
@@ -263,7 +263,7 @@
     if (!row.isOverdue && now - row.sentAt > overdueAfter) {
         row.isOverdue = true;
         if (target_row *target = m_targets.find(row.targetKey)) {
-            m_targets.overdue(*target, now);
+            m_targets.suspect(*target, now);
         }
     }
     if (now >= row.giveUpAt + answerGrace) {
--- a/src/flamingofield/relay/relay_outcome.cpp
+++ b/src/flamingofield/relay/relay_outcome.cpp
@@ -31,6 +31,16 @@
     return report;
 }
 
+/// What an exchange without an answer says about the target. A connection that was made for the request and ended while the
+/// target had it was ended by the target; one that was kept idle may have been lost before.
+target_outcome outcomeOf(const exchange_result &result)
+{
+    if (result.wasCancelled) {
+        return target_outcome::cancelled;
+    }
+    return result.wasClosedByPeer && !result.wasReused ? target_outcome::reset : target_outcome::broken;
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -74,8 +84,7 @@
         judgeAnswer(row, target, result, taken, now);
     } else {
         if (target != nullptr) {
-            m_targets.finished(*target, result.wasCancelled ? target_outcome::cancelled : target_outcome::broken, taken, usualWorkOf(row),
-                               now);
+            m_targets.finished(*target, outcomeOf(result), taken, usualWorkOf(row), now);
         }
         logEvent(log_level::warn, "exchange_failed",
                  {{"id", row.id},
@@ -134,6 +143,7 @@
         afterFailure(row, false, {}, "target refused", now);
         break;
     case target_outcome::broken:
+    case target_outcome::reset:
         afterFailure(row, true, errorAnswer(502, "the target's answer was not sound"), "unsound answer", now);
         break;
     case target_outcome::failed:
--- a/tests/balance/target_table_tests.cpp
+++ b/tests/balance/target_table_tests.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(failsLessThanRoundRobinWhenTargetsFailInPhases);
     CPPUNIT_TEST(restsATargetThatShed);
     CPPUNIT_TEST(learnsFromPeersWhichTargetsFail);
+    CPPUNIT_TEST(learnsFromPeersWhichTargetsResetNewConnections);
+    CPPUNIT_TEST(triesUnusedTargetsLessOftenWhenEachHasAFirstTrier);
     CPPUNIT_TEST(prefersTheOwnDataCentreAmongEquals);
     CPPUNIT_TEST_SUITE_END();
 
@@ -237,6 +239,73 @@
         CPPUNIT_ASSERT(table.find(key)->health.sickness(start) > 0.8);
     }
 
+    /// Pattern: some targets accept requests and reset their connections, for several seconds.
+    void learnsFromPeersWhichTargetsResetNewConnections()
+    {
+        target_table here("here", 1);
+        target_table there("there", 2);
+        here.apply(snapshot(2), start);
+        there.apply(snapshot(2), start);
+        const std::uint64_t key = keyOf(here, "t0");
+        there.told(1, here.tell(start), start);
+        for (int i = 0; i < 3; ++i) {
+            here.started(*here.find(key));
+            here.finished(*here.find(key), target_outcome::reset, milliseconds(3), work, start);
+        }
+        there.told(1, here.tell(start), start);
+        CPPUNIT_ASSERT(here.find(key)->health.sickness(start) > 0.8);
+        CPPUNIT_ASSERT(there.find(key)->health.sickness(start) > 0.4);
+        // A connection that was lost while it was idle says nothing to others.
+        const std::uint64_t other = keyOf(here, "t1");
+        here.started(*here.find(other));
+        here.finished(*here.find(other), target_outcome::broken, milliseconds(3), work, start);
+        there.told(1, here.tell(start), start);
+        CPPUNIT_ASSERT(there.find(other)->health.sickness(start) < 0.1);
+    }
+
+    /// Requests that are sent to unused targets when six nodes choose by turns and hear of each other 200 ms later.
+    static int trialsOf(bool hasFirstTriers)
+    {
+        constexpr std::size_t nodes = 6;
+        constexpr int targets = 40;
+        std::vector<target_table> tables;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            tables.emplace_back("here", i + 1);
+            tables.back().apply(snapshot(targets), start);
+            tables.back().setTrials(hasFirstTriers ? trial_duty{nodes, i} : trial_duty{1, 0});
+            for (int sick = 0; sick < targets / 2; ++sick) {
+                tables.back().find(keyOf(tables.back(), "t" + std::to_string(sick)))->health.observe(failedAnswer, start);
+            }
+        }
+        int trials = 0;
+        int step = 0;
+        for (instant now = start; now < start + seconds(10); now += milliseconds(10), ++step) {
+            target_table &table = tables[static_cast<std::size_t>(step) % nodes];
+            const auto choice = table.choose(query(), now);
+            trials += choice && choice->isTrial && now - start > seconds(3) ? 1 : 0;
+            if (choice) {
+                table.started(*choice->row);
+                table.finished(*choice->row, target_outcome::served, milliseconds(1), work, now);
+            }
+            for (std::size_t i = 0; step % 20 == 0 && i < nodes; ++i) {
+                for (std::size_t peer = 0; peer < nodes; ++peer) {
+                    if (peer != i) {
+                        tables[i].told(peer, tables[peer].tell(now), now);
+                    }
+                }
+            }
+        }
+        return trials;
+    }
+
+    /// Pattern: several nodes notice at the same time that a target is unused, and all of them try it.
+    void triesUnusedTargetsLessOftenWhenEachHasAFirstTrier()
+    {
+        const int withoutFirstTriers = trialsOf(false);
+        CPPUNIT_ASSERT(withoutFirstTriers > 0);
+        CPPUNIT_ASSERT(trialsOf(true) * 10 < withoutFirstTriers * 9);
+    }
+
     void prefersTheOwnDataCentreAmongEquals()
     {
         target_table table("here", 1);
