Watch configurations from what a node holds; drop idle limits after losses

A watch now begins at the revision up to which the document is known whole; the test failed first (watched after 50 instead of 30).

--- a/src/flamingofield/edge/edge_settings.hpp
+++ b/src/flamingofield/edge/edge_settings.hpp
@@ -66,7 +66,6 @@
 {
     std::optional<store_document> change; ///< None if nothing changed in time.
     bool isHistoryLost = false; ///< Changes may have been missed; read the whole document.
-    std::uint64_t storeRevision = 0; ///< Where the next wait begins.
 };
 
 /// Calls to the platform's store. Each handler is called once, on the event loop, also after a time-out.
--- a/src/flamingofield/edge/shared_knowledge.cpp
+++ b/src/flamingofield/edge/shared_knowledge.cpp
@@ -164,10 +164,11 @@
             m_watchAfter = 0;
             return;
         }
-        m_watchAfter = std::max(m_watchAfter, end.value().storeRevision);
         m_configConfirmedAt = ended;
         m_isConfigConfirmed = true;
+        // A watch may miss a change and still name a later revision, so the next one begins at what this node holds.
         if (end.value().change) {
+            m_watchAfter = std::max(m_watchAfter, end.value().change->revision);
             takeConfig(*end.value().change, "store");
         }
     });
--- a/src/flamingofield/edge/shared_knowledge.hpp
+++ b/src/flamingofield/edge/shared_knowledge.hpp
@@ -72,7 +72,7 @@
     instant m_configConfirmedAt;
     bool m_isConfigConfirmed = false;
     bool m_isFetchingConfig = false;
-    std::uint64_t m_watchAfter = 0; ///< Store revision from which to watch; zero before the first read.
+    std::uint64_t m_watchAfter = 0; ///< Revision up to which the document is known whole; zero before the first read.
     reading_schedule m_configReads;
     target_snapshot m_targets;
     std::uint64_t m_digest = 0;
--- a/src/flamingofield/http/connection_pool.cpp
+++ b/src/flamingofield/http/connection_pool.cpp
@@ -41,28 +41,29 @@
     idle.push_back({std::move(socket), now, now + usableFor});
 }
 
-bool connection_pool::take(const std::string &key, duration longestIdle, instant now, tcp_socket &socket)
+std::optional<duration> connection_pool::take(const std::string &key, duration longestIdle, instant now, tcp_socket &socket)
 {
     const auto found = m_idle.find(key);
     if (found == m_idle.end()) {
-        return false;
+        return std::nullopt;
     }
     auto &idle = found->second;
     while (!idle.empty()) {
         idle_connection &last = idle.back();
         if (now - last.idleSince >= longestIdle) {
-            return false; // All others have been idle for longer.
+            return std::nullopt; // All others have been idle for longer.
         }
+        const duration idleFor = now - last.idleSince;
         const bool isUsable = now < last.usableUntil && !hasPendingInput(last.socket);
         if (isUsable) {
             socket = std::move(last.socket);
         }
         idle.pop_back();
         if (isUsable) {
-            return true;
+            return idleFor;
         }
     }
-    return false;
+    return std::nullopt;
 }
 
 void connection_pool::drop(const std::string &key)
--- a/src/flamingofield/http/connection_pool.hpp
+++ b/src/flamingofield/http/connection_pool.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,8 +24,8 @@
     void put(const std::string &key, tcp_socket socket, duration usableFor, instant now);
 
     /// Takes the most recently used connection that has been idle for less than a bound and has no byte to read.
-    /// @return true if one was found
-    bool take(const std::string &key, duration longestIdle, instant now, tcp_socket &socket);
+    /// @return how long the connection was idle, or nothing if there is none
+    std::optional<duration> take(const std::string &key, duration longestIdle, instant now, tcp_socket &socket);
 
     /// Closes all connections of a key, as after one of them broke.
     void drop(const std::string &key);
--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -68,7 +68,7 @@
     std::string requestId;
     handler onEnd;
     bool isHead = false;
-    bool wasReused = false;
+    std::optional<duration> idleFor; ///< Set if the connection is reused.
     bool isSent = false; ///< A byte may have left.
     bool isWritten = false; ///< All bytes have left.
     bool hasEnded = false;
@@ -91,8 +91,8 @@
     if (!s.options.idField.empty()) {
         s.requestId = request.fields.value(s.options.idField);
     }
-    s.wasReused = s.pool.take(s.options.poolKey, s.options.longestIdle, std::chrono::steady_clock::now(), s.socket);
-    if (s.wasReused) {
+    s.idleFor = s.pool.take(s.options.poolKey, s.options.longestIdle, std::chrono::steady_clock::now(), s.socket);
+    if (s.idleFor) {
         asio::post(s.loop, [self = shared_from_this()] { self->send(); });
     } else {
         connect();
@@ -245,7 +245,8 @@
 {
     state &s = *m_state;
     s.hasEnded = true;
-    result.wasReused = s.wasReused;
+    result.wasReused = s.idleFor.has_value();
+    result.idleFor = s.idleFor.value_or(duration::zero());
     s.connectTimer.cancel();
     error_code ignored; // The socket is given up either way.
     s.socket.close(ignored);
--- a/src/flamingofield/http/exchange.hpp
+++ b/src/flamingofield/http/exchange.hpp
@@ -26,6 +26,7 @@
     http_exchange_answer answer; ///< If answered.
     error problem; ///< Otherwise, with the step and the peer.
     bool wasReused = false; ///< The connection had served an earlier request.
+    duration idleFor{}; ///< How long a reused connection had been idle.
     bool wasCancelled = false; ///< The caller broke it off.
     bool wasClosedByPeer = false; ///< After the request was sent, the peer ended the connection without a whole answer.
 };
--- a/src/flamingofield/relay/relay.hpp
+++ b/src/flamingofield/relay/relay.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/idle_limit.hpp"
 #include "balance/retry_ledger.hpp"
 #include "balance/target_table.hpp"
 #include "balance/waiting_line.hpp"
@@ -106,7 +107,8 @@
     fleet_share m_share;
     duration m_targetsAge{};
     work_estimate m_work;
-    std::unordered_map<std::string, waiting_line> m_lines;
+    std::unordered_map<std::string, waiting_line> m_lines; ///< By service.
+    std::unordered_map<std::string, idle_limit> m_idleLimits; ///< By service.
     request_map m_requests;
     std::uint64_t m_nextSerial = 1;
     std::mt19937_64 m_random;
--- a/src/flamingofield/relay/relay_outcome.cpp
+++ b/src/flamingofield/relay/relay_outcome.cpp
@@ -86,6 +86,9 @@
         if (target != nullptr) {
             m_targets.finished(*target, outcomeOf(result), taken, usualWorkOf(row), now);
         }
+        if (result.wasReused && result.wasClosedByPeer) {
+            m_idleLimits[service].lost(result.idleFor, now);
+        }
         logEvent(log_level::warn, "exchange_failed",
                  {{"id", row.id},
                   {"target", row.tried.back()},
@@ -94,6 +97,7 @@
                   {"reason", result.problem.reason},
                   {"verdict", result.verdict == exchange_verdict::notSent ? "not_sent" : "may_have_run"},
                   {"reused", result.wasReused ? "yes" : "no"},
+                  {"idle_ms", milliText(result.idleFor)},
                   {"taken_ms", milliText(taken)}});
         const bool didRun = result.verdict != exchange_verdict::notSent;
         afterFailure(row, didRun, errorAnswer(502, "the target's answer was lost"), result.problem.step, now);
--- /dev/null
+++ b/tests/edge/shared_knowledge_tests.cpp
@@ -0,0 +1,92 @@
+#include "edge/shared_knowledge.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+using namespace flamingofield;
+
+namespace {
+
+/// A store whose answers a test gives by hand.
+struct fake_store
+{
+    store_calls calls()
+    {
+        store_calls made;
+        made.readConfig = [this](auto onEnd) { reads.push_back(std::move(onEnd)); };
+        made.watchConfig = [this](std::uint64_t after, milliseconds, auto onEnd) {
+            watchedAfter.push_back(after);
+            watches.push_back(std::move(onEnd));
+        };
+        made.readTargets = [](auto) {};
+        made.decodeConfig = [](const store_document &document) -> result<forwarding_config> {
+            forwarding_config config;
+            config.stamp = {document.revision, document.revision};
+            return config;
+        };
+        return made;
+    }
+
+    std::vector<store_calls::handler<std::pair<store_document, std::uint64_t>>> reads;
+    std::vector<store_calls::handler<store_watch_end>> watches;
+    std::vector<std::uint64_t> watchedAfter;
+};
+
+class shared_knowledge_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(shared_knowledge_tests);
+    CPPUNIT_TEST(watchesOnFromWhatItHoldsAfterAWatchThatHeardNothing);
+    CPPUNIT_TEST(readsTheDocumentAgainWhenTheHistoryIsLost);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Ticks until a time after the start; the reader's calls are made on the way.
+    static void tickUntil(shared_knowledge &knowledge, instant start, milliseconds length)
+    {
+        for (milliseconds passed{0}; passed <= length; passed += milliseconds(50)) {
+            knowledge.tick(0, start + passed);
+        }
+    }
+
+    /// A watch may hear nothing though the document changed.
+    void watchesOnFromWhatItHoldsAfterAWatchThatHeardNothing()
+    {
+        fake_store store;
+        const instant start = std::chrono::steady_clock::now();
+        shared_knowledge knowledge(
+            store.calls(), [](auto, const auto &, auto) {}, [](auto) {}, [](const auto &) {}, milliseconds(1500), start);
+        tickUntil(knowledge, start, milliseconds(300));
+        store.reads.at(0)(std::make_pair(store_document{10, "text"}, std::uint64_t(30)));
+        tickUntil(knowledge, start, milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(30), store.watchedAfter.at(0));
+        store.watches.at(0)(store_watch_end{});
+        tickUntil(knowledge, start, milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(30), store.watchedAfter.at(1));
+        store_watch_end heard;
+        heard.change = store_document{40, "newer text"};
+        store.watches.at(1)(heard);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(40), knowledge.tell(start).config.version);
+        tickUntil(knowledge, start, milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(40), store.watchedAfter.at(2));
+    }
+
+    void readsTheDocumentAgainWhenTheHistoryIsLost()
+    {
+        fake_store store;
+        const instant start = std::chrono::steady_clock::now();
+        shared_knowledge knowledge(
+            store.calls(), [](auto, const auto &, auto) {}, [](auto) {}, [](const auto &) {}, milliseconds(1500), start);
+        tickUntil(knowledge, start, milliseconds(300));
+        store.reads.at(0)(std::make_pair(store_document{10, "text"}, std::uint64_t(30)));
+        tickUntil(knowledge, start, milliseconds(300));
+        store_watch_end lost;
+        lost.isHistoryLost = true;
+        store.watches.at(0)(lost);
+        tickUntil(knowledge, start, milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), store.reads.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shared_knowledge_tests);
+
+} // namespace
--- a/tests/relay/relay_tests.cpp
+++ b/tests/relay/relay_tests.cpp
@@ -207,6 +207,7 @@
     CPPUNIT_TEST(refusesWithoutConfigurationAndWithoutTargets);
     CPPUNIT_TEST(refusesAtOnceWhatCannotBeServedInTime);
     CPPUNIT_TEST(connectsElsewhereWhenATargetIsGone);
+    CPPUNIT_TEST(usesNoConnectionThatRestedAsLongAsALostOne);
     CPPUNIT_TEST_SUITE_END();
 
     void forwardsTheRequestUnchangedButForHopByHopFields()
@@ -266,6 +267,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), b.arrivals());
     }
 
+    /// A target that forgets idle connections resets what is sent on them.
+    void usesNoConnectionThatRestedAsLongAsALostOne()
+    {
+        int calls = 0;
+        const auto secondIsReset = [&](const backend_request &request) {
+            return ++calls == 2 ? backend_reply{"", false, true} : serve(request);
+        };
+        bench b({secondIsReset});
+        CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "id1")));
+        b.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(502, b.await(b.send("/write/", "id2")));
+        CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "id3")));
+        CPPUNIT_ASSERT_EQUAL(2, b.backends[0]->connections);
+        b.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "id4")));
+        CPPUNIT_ASSERT_EQUAL(3, b.backends[0]->connections);
+    }
+
     void refusesTruthfullyWhenAllTargetsShed()
     {
         bench b({shed, shed});
