--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -47,7 +47,7 @@
 /// without a disturbance, and this node does not see all disturbances. The floor binds from a tenth on.
 constexpr double troubledShare = 0.07;
 /// What remains of the targets that may stay unused then.
-constexpr double troubledUnused = 0.4;
+constexpr double troubledUnused = 0.1;
 /// Slowness above which a target counts as disturbed; work times alone rarely average so far from the usual.
 constexpr double disturbedSlowness = 2.5;
 /// A request that was broken off after this many times the usual work counts as a disturbance.
@@ -147,8 +147,15 @@
 {
     target_row *row = nullptr;
     double sickness = 0.0;
+    double promise = 0.0; ///< If it begins at once.
     int inFlight = 0;
     bool isFree = false;
+    bool isTrial = false; ///< Due for a trial.
+
+    int freeSlots() const
+    {
+        return row->entry.slots - inFlight;
+    }
 };
 
 double target_table::promiseOf(const target_row &row, const target_query &query, duration delay, instant now) const
@@ -191,7 +198,8 @@
             = query.excluded != nullptr && std::find(query.excluded->begin(), query.excluded->end(), row.entry.id) != query.excluded->end();
         if (!isExcluded) {
             const int there = inFlight(row, now);
-            candidates.push_back({&row, row.health.sickness(now), there, there < row.entry.slots && now >= row.restUntil});
+            const bool isFree = there < row.entry.slots && now >= row.restUntil;
+            candidates.push_back({&row, row.health.sickness(now), promiseOf(row, query, duration::zero(), now), there, isFree, false});
         }
     }
     std::sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) { return a.sickness > b.sickness; });
@@ -215,6 +223,53 @@
     return static_cast<std::size_t>(allowed * static_cast<double>(undisturbed));
 }
 
+void target_table::markTrials(std::vector<candidate> &candidates, const target_query &query, instant now) const
+{
+    const bool isRepeat = query.excluded != nullptr && !query.excluded->empty();
+    if (isRepeat) {
+        return; // A request that has failed once goes where it promises most.
+    }
+    // From the sickest to the soundest, the first few undisturbed ones without work are let be.
+    std::size_t unusedLeft = mayStayUnused(candidates, query.unservedShare, now);
+    for (candidate &each : candidates) {
+        const bool isDue = each.isFree && now - each.row->disturbedAt > disturbanceTime
+            && now - each.row->usedAt > trialAfter(*each.row, query.mayRepeat);
+        if (isDue && unusedLeft > 0) {
+            --unusedLeft;
+        } else {
+            each.isTrial = isDue;
+        }
+    }
+}
+
+double target_table::utilityOf(const candidate &each) const
+{
+    const double distance = each.row->entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
+    return each.promise - distance - loadPenalty * static_cast<double>(each.inFlight) / std::max(1, each.row->entry.slots);
+}
+
+double target_table::orderOf(const candidate &each, instant now) const
+{
+    // Each node breaks ties in its own order, so that nodes with the same view do not meet at one target.
+    constexpr double tieBreak = 0.02;
+    constexpr double hashRange = 9007199254740992.0;
+    const double refresh = std::min(mostRefresh, refreshPerSecond * toSeconds(now - each.row->usedAt))
+        * std::max(0.0, 1.0 - each.sickness / unknownSickness);
+    const double tie = tieBreak * static_cast<double>(hashOf(each.row->entry.id, m_seed + m_choices) >> 11U) / hashRange;
+    return utilityOf(each) + refresh + (each.isTrial ? 1.0 : 0.0) + tie;
+}
+
+double target_table::bestPromiseOfWaiting(const std::vector<candidate> &candidates, const target_query &query, instant now) const
+{
+    double best = 0.0;
+    for (const candidate &each : candidates) {
+        if (!each.isFree) {
+            best = std::max(best, promiseOf(*each.row, query, query.lineWait + slotFrees(*each.row, query, now), now));
+        }
+    }
+    return best;
+}
+
 std::optional<target_choice> target_table::choose(const target_query &query, instant now)
 {
     const auto keys = m_byService.find(std::string(query.service));
@@ -222,59 +277,36 @@
         return std::nullopt;
     }
     ++m_choices;
-    const auto candidates = candidatesFor(query, keys->second, now);
-    // From the sickest to the soundest, the first few undisturbed ones without work are let be.
-    std::size_t unusedLeft = mayStayUnused(candidates, query.unservedShare, now);
-    target_choice best;
-    double bestOrder = -2.0;
+    auto candidates = candidatesFor(query, keys->second, now);
+    markTrials(candidates, query, now);
+    const candidate *best = nullptr;
+    double bestOrder = 0.0;
     double bestPromise = 0.0;
-    double bestWaiting = 0.0;
-    double bestOfAll = 0.0;
-    std::vector<std::pair<double, int>> freeByPromise;
     for (const candidate &each : candidates) {
-        const int slots = std::max(1, each.row->entry.slots);
-        const double promise = promiseOf(*each.row, query, duration::zero(), now);
-        bestOfAll = std::max(bestOfAll, promise);
-        if (!each.isFree) {
-            bestWaiting = std::max(bestWaiting, promiseOf(*each.row, query, query.lineWait + slotFrees(*each.row, query, now), now));
-            continue;
-        }
-        freeByPromise.emplace_back(promise, slots - each.inFlight);
-        const double distance = each.row->entry.dataCentre == m_dataCentre ? 0.0 : remotePenalty;
-        const double utility = promise - distance - loadPenalty * static_cast<double>(each.inFlight) / slots;
-        bool isTrial = now - each.row->disturbedAt > disturbanceTime && now - each.row->usedAt > trialAfter(*each.row, query.mayRepeat);
-        if (isTrial && unusedLeft > 0) {
-            --unusedLeft;
-            isTrial = false;
-        }
-        // Each node breaks ties in its own order, so that nodes with the same view do not meet at one target.
-        constexpr double tieBreak = 0.02;
-        constexpr double hashRange = 9007199254740992.0;
-        const double refresh = std::min(mostRefresh, refreshPerSecond * toSeconds(now - each.row->usedAt))
-            * std::max(0.0, 1.0 - each.sickness / unknownSickness);
-        const double order = utility + refresh + (isTrial ? 1.0 : 0.0)
-            + tieBreak * static_cast<double>(hashOf(each.row->entry.id, m_seed + m_choices) >> 11U) / hashRange;
-        if (order > bestOrder) {
+        bestPromise = std::max(bestPromise, each.promise);
+        const double order = each.isFree ? orderOf(each, now) : 0.0;
+        if (each.isFree && (best == nullptr || order > bestOrder)) {
+            best = &each;
             bestOrder = order;
-            bestPromise = promise;
-            best = {each.row, utility, each.sickness, each.row->slowness.ratio(now), each.inFlight, 0, isTrial};
         }
     }
-    for (const auto &[promise, slots] : freeByPromise) {
-        best.freeSlots += promise + soundMargin >= bestOfAll ? slots : 0;
-    }
-    if (best.row == nullptr) {
+    if (best == nullptr) {
         return std::nullopt;
     }
+    const auto isSound = [&](const candidate &each) { return each.promise + soundMargin >= bestPromise; };
+    int freeSlots = 0;
+    for (const candidate &each : candidates) {
+        freeSlots += each.isFree && isSound(each) ? each.freeSlots() : 0;
+    }
     // Only sound slots are kept for urgent work; what takes a poorer one takes nothing from it.
-    const bool isSound = bestPromise + soundMargin >= bestOfAll;
-    const bool isReserved = isSound && best.freeSlots <= query.reservedSlots;
-    const bool isWorthWaiting = !best.isTrial && bestPromise + impatience < bestWaiting;
+    const bool isReserved = isSound(*best) && freeSlots <= query.reservedSlots;
+    const bool isWorthWaiting = !best->isTrial && best->promise + impatience < bestPromiseOfWaiting(candidates, query, now);
     if (isReserved || isWorthWaiting) {
         return std::nullopt;
     }
-    best.row->usedAt = now;
-    return best;
+    best->row->usedAt = now;
+    return target_choice{best->row,      utilityOf(*best), best->sickness, best->row->slowness.ratio(now),
+                         best->inFlight, freeSlots,        best->isTrial};
 }
 
 bool target_table::takeUrgentNews()
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -182,6 +182,12 @@
     /// How long a target may be unused before this node tries it.
     duration trialAfter(const target_row &row, bool mayRepeat) const;
     std::size_t mayStayUnused(const std::vector<candidate> &candidates, double unservedShare, instant now) const;
+    /// Marks the targets that this request should try because nobody has used them for a while.
+    void markTrials(std::vector<candidate> &candidates, const target_query &query, instant now) const;
+    double utilityOf(const candidate &each) const;
+    /// Utility with what decides among near equals.
+    double orderOf(const candidate &each, instant now) const;
+    double bestPromiseOfWaiting(const std::vector<candidate> &candidates, const target_query &query, instant now) const;
     std::vector<candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
     /// Time until one of a busy target's slots becomes free.
     duration slotFrees(const target_row &row, const target_query &query, instant now) const;
--- a/src/flamingofield/relay/relay.cpp
+++ b/src/flamingofield/relay/relay.cpp
@@ -215,8 +215,7 @@
     exchange_options options;
     options.poolKey = target.entry.id + "@" + toString(target.entry.address);
     options.connectTimeout = targetConnectTimeout;
-    options.longestIdle
-        = m_idleLimits[row.service].longest(row.mayRepeat() ? duration(longestIdleForSafe) : duration(longestIdleForUnsafe), now);
+    options.longestIdle = row.mayRepeat() ? duration(longestIdleForSafe) : m_idleLimits[row.service].longest(longestIdleForUnsafe, now);
     options.idField = m_names.requestId;
     row.current = std::make_shared<exchange>(m_loop, m_connections, target.entry.address, options);
     row.current->start(outbound(row, target.entry, now), [this, serial = row.serial, key = target.key](exchange_result result) {
