--- a/src/flamingofield/edge/shared_knowledge.cpp
+++ b/src/flamingofield/edge/shared_knowledge.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-/// A leaving target must get nothing new two seconds after the store knows; half a second of reading leaves time for a
-/// failed read and the way to all nodes.
-constexpr reading_schedule::pace targetPace{milliseconds(500), milliseconds(1000), milliseconds(80), milliseconds(100), milliseconds(1500)};
-/// The watch reports changes at once and confirms by its end that there were none. Nodes that hear of no such end for longer
-/// than a watch and the way of its news read by themselves, all of them before the two seconds of the contract.
-constexpr reading_schedule::pace configPace{milliseconds(0), milliseconds(1300), milliseconds(80), milliseconds(100), milliseconds(1500)};
 constexpr milliseconds watchTime{800};
 
 /// Documents above this many bytes are read from the store by every node.
@@ -39,9 +33,9 @@
     , m_onTargets(std::move(onTargets))
     , m_firstReadAt(firstReadAt)
     , m_configConfirmation(startedAt)
-    , m_configReads(configPace)
+    , m_configReads(configReadPace)
     , m_targetsConfirmation(startedAt)
-    , m_targetReads(targetPace)
+    , m_targetReads(targetReadPace)
     , m_guard(heartbeat)
 {
 }
--- a/tests/store/reading_schedule_tests.cpp
+++ b/tests/store/reading_schedule_tests.cpp
@@ -1,6 +1,7 @@
 #include "store/reading_schedule.hpp"
 
 #include "core/hash.hpp"
+#include "edge/shared_knowledge.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,7 +13,7 @@
 namespace {
 
 const instant start = instant() + seconds(1000);
-constexpr reading_schedule::pace pace{milliseconds(500), milliseconds(1100), milliseconds(80), milliseconds(100), milliseconds(1500)};
+constexpr reading_schedule::pace pace = targetReadPace;
 
 class reading_schedule_tests : public CppUnit::TestFixture
 {
@@ -39,6 +40,7 @@
     {
         const reading_schedule schedule(pace);
         CPPUNIT_ASSERT(!schedule.isDue(3, milliseconds(1000), start));
+        CPPUNIT_ASSERT(!reading_schedule(configReadPace).isDue(3, milliseconds(1300), start));
     }
 
     void stepsInWithinTheBoundWhenNoNewsCome()
@@ -47,6 +49,7 @@
         CPPUNIT_ASSERT(schedule.isDue(1, milliseconds(1200), start));
         // Two seconds are the platform's bound; every node must have begun well before.
         CPPUNIT_ASSERT(schedule.isDue(4000, milliseconds(1500), start));
+        CPPUNIT_ASSERT(reading_schedule(configReadPace).isDue(4000, milliseconds(1800), start));
     }
 
     /// Pattern: all nodes start within a moment, as after a power cut; what one has read reaches the others in 300 ms.
