--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -45,7 +45,7 @@
 constexpr milliseconds otherTrierDelay{250};
 /// Part of a service's requests that are not served above which the floor gets a margin: the platform counts it over targets
 /// without a disturbance, and this node does not see all disturbances. The floor binds from a tenth on.
-constexpr double troubledShare = 0.07;
+constexpr double troubledShare = 0.09;
 /// What remains of the targets that may stay unused then.
 constexpr double troubledUnused = 0.1;
 /// Slowness above which a target counts as disturbed; work times alone rarely average so far from the usual.
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -89,7 +89,7 @@
               std::move(store), [this](node_address peer, const std::string &path, auto onEnd) { fetch(peer, path, std::move(onEnd)); },
               [this](std::shared_ptr<const active_config> config) { takeConfig(std::move(config)); },
               [this](const target_snapshot &snapshot) { takeTargets(snapshot); }, m_settings.heartbeat, std::chrono::steady_clock::now(),
-              std::chrono::steady_clock::now() + reading_schedule::firstReadAfter(hashOf(m_settings.address)))
+              std::chrono::steady_clock::now() + reading_schedule::firstReadAfter(m_settings.isFirstStart, hashOf(m_settings.address)))
         , m_gate(
               loop, [this] { return m_limits; }, [this](const auto &pending) { handleGate(pending); })
         , m_readiness(
--- a/src/flamingofield/edge/edge_settings.hpp
+++ b/src/flamingofield/edge/edge_settings.hpp
@@ -30,6 +30,7 @@
     endpoint metrics; ///< Counters and histograms; port 0 for none.
     std::uint16_t meshPort = 0; ///< UDP and TCP between nodes, the same on all VMs.
     std::vector<std::string> seeds; ///< IPv4 addresses of nodes to ask first; they may be down.
+    bool isFirstStart = false; ///< The whole system starts for the first time; there are no callers yet.
     retry_terms retries;
     double floorShare = 0.7; ///< Part of a service's undisturbed targets that must stay in use.
     milliseconds heartbeat{1500}; ///< Interval at which targets renew their registration.
--- a/src/flamingofield/store/reading_schedule.cpp
+++ b/src/flamingofield/store/reading_schedule.cpp
@@ -9,13 +9,16 @@
 
 /// Peers that know everything answer within this time.
 constexpr milliseconds shortestFirstDelay{150};
-/// Two exchanges between nodes beyond it.
-constexpr milliseconds longestFirstDelay{1050};
+/// Callers come some seconds after the first start; this leaves them for failed reads.
+constexpr milliseconds longestFirstDelay{2050};
 
 } // namespace
 
-milliseconds reading_schedule::firstReadAfter(std::uint64_t seed)
+milliseconds reading_schedule::firstReadAfter(bool isFirstStart, std::uint64_t seed)
 {
+    if (!isFirstStart) {
+        return shortestFirstDelay;
+    }
     constexpr std::uint64_t steps = 1U << 20U;
     const double place = static_cast<double>(seed % steps) / static_cast<double>(steps);
     // The root makes the number of readers grow with the square of the time.
--- a/src/flamingofield/store/reading_schedule.hpp
+++ b/src/flamingofield/store/reading_schedule.hpp
@@ -20,10 +20,11 @@
         milliseconds lastRetry; ///< Longest pause between failed reads; each pause doubles.
     };
 
-    /// How long a node that knows nothing waits for its peers before it reads. The delays of many nodes are spread so that
-    /// few are short: when all nodes start at once, the first readers serve the others.
+    /// How long a node that knows nothing waits for its peers before it reads. Callers may be waiting, so the delay is short;
+    /// at the first start of the whole system there are none yet, and the delays of many nodes are spread so that few are
+    /// short: the first readers serve the others.
     /// @param seed differs from node to node
-    static milliseconds firstReadAfter(std::uint64_t seed);
+    static milliseconds firstReadAfter(bool isFirstStart, std::uint64_t seed);
 
     explicit reading_schedule(const pace &p)
         : m_pace(p)
