Add flamingo trace: the lines of a request from all logs and the cause of its end

Cause: an engineer on call had to grep and sort the logs of all nodes and to know which line decides.

Bad input: exit code 2 and what to give.

--- a/src/flamingo/commands.cpp
+++ b/src/flamingo/commands.cpp
@@ -5,6 +5,7 @@
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -25,6 +26,7 @@
   flamingo status --node IP:PORT           configuration and members as one node sees them
   flamingo targets --node IP:PORT          backend servers as every node judges them
   flamingo report burn --node IP:PORT      service-level burn over the fleet
+  flamingo trace ID --logs DIR             lines of a request in the logs of all nodes, and why it ended so
 
 )";
 
@@ -34,6 +36,7 @@
     std::string output;
     std::string node;
     std::string html;
+    std::string logs;
 };
 
 int complain(const std::string &text)
@@ -254,6 +257,38 @@
     return report.missing.empty() ? success : failure;
 }
 
+int trace(const arguments &given)
+{
+    std::error_code unreadable;
+    const std::filesystem::directory_iterator files(given.logs, unreadable);
+    if (given.words.size() != 2 || given.logs.empty()) {
+        return complain("trace takes: the id of a request, and --logs with the folder that holds the nodes' logs");
+    }
+    if (unreadable) {
+        return complain("--logs '" + given.logs + "': " + unreadable.message());
+    }
+    std::vector<flamingofield::log_line> lines;
+    for (const auto &file : files) {
+        const auto text = file.is_regular_file() ? readFile(file.path()) : std::nullopt;
+        if (text) {
+            addLinesOf(given.words[1], *text, lines);
+        }
+    }
+    if (lines.empty()) {
+        std::cerr << "flamingo: no log in " << given.logs << " has a line with id=" << given.words[1] << "\n";
+        return failure;
+    }
+    for (const auto &line : lines) {
+        std::cout << line.time << " " << line.node << " " << line.event;
+        for (const auto &[name, value] : line.fields) {
+            std::cout << " " << name << "=" << value;
+        }
+        std::cout << "\n";
+    }
+    std::cout << "cause: " << causeOf(lines) << "\n";
+    return success;
+}
+
 } // namespace
 
 int run(int argc, const char *const *argv)
@@ -261,8 +296,9 @@
     po::options_description options("Flags");
     arguments given;
     options.add_options()("help,h", "print this text")("version", "print the version")(
-        "output", po::value(&given.output)->default_value("text"), "text or json")("node", po::value(&given.node),
-                                                                                   "IP:PORT of a node's admin address")(
+        "output", po::value(&given.output)->default_value("text"),
+        "text or json")("node", po::value(&given.node), "IP:PORT of a node's admin address")("logs", po::value(&given.logs),
+                                                                                             "trace: folder with the logs of the nodes")(
         "html", po::value(&given.html), "report: also write an HTML page to this file")("word", po::value(&given.words), "");
     po::positional_options_description positional;
     positional.add("word", -1);
@@ -300,6 +336,9 @@
     if (command == "report") {
         return reportBurn(given);
     }
+    if (command == "trace") {
+        return trace(given);
+    }
     std::cerr << usage;
     return usageError;
 }
