Take few failures and one disturbed target for chance

Change: at least three disturbed targets, and the share of failures less one standard deviation of its count.

--- a/src/flamingofield/balance/outcome_window.cpp
+++ b/src/flamingofield/balance/outcome_window.cpp
@@ -1,5 +1,8 @@
 #include "balance/outcome_window.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace flamingofield {
 
 outcome_window::service_row &outcome_window::rowOf(std::string_view service)
@@ -50,7 +53,8 @@
         }
     }
     const double all = static_cast<double>(total.served) + total.unserved;
-    return all > 0.0 ? total.unserved / all : 0.0;
+    const double unserved = total.unserved;
+    return all > 0.0 ? std::max(0.0, unserved - std::sqrt(unserved)) / all : 0.0;
 }
 
 } // namespace flamingofield
--- a/src/flamingofield/balance/outcome_window.hpp
+++ b/src/flamingofield/balance/outcome_window.hpp
@@ -29,7 +29,8 @@
     /// This node's own counts.
     recent_outcomes own(std::string_view service, instant now) const;
 
-    /// Part of the requests of all nodes that were not served; zero while there are none.
+    /// Part of the requests of all nodes that were not served, less one standard deviation of its count: among few requests
+    /// some failures are chance. Zero while there are none.
     double unservedShare(std::string_view service, instant now) const;
 
 private:
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -50,6 +50,8 @@
 /// Part of a service's targets with a disturbance above which fewer are left out: others have one that this node does not see,
 /// and those without any may be few.
 constexpr double disturbedShare = 0.06;
+/// Fewer disturbed targets than this show nothing about the others, as in a service of ten.
+constexpr double leastDisturbed = 3.0;
 /// What remains of the targets that may stay unused then.
 constexpr double disturbedUnused = 0.4;
 /// Slowness above which a target counts as disturbed; work times alone rarely average so far from the usual.
@@ -224,7 +226,8 @@
     const auto undisturbed = std::count_if(candidates.begin(), candidates.end(),
                                            [&](const candidate &each) { return now - each.row->disturbedAt > disturbanceTime; });
     const double all = static_cast<double>(candidates.size());
-    const bool isDisturbed = all - static_cast<double>(undisturbed) > disturbedShare * all;
+    const double disturbed = all - static_cast<double>(undisturbed);
+    const bool isDisturbed = disturbed >= leastDisturbed && disturbed > disturbedShare * all;
     const double left = unservedShare > troubledShare ? troubledUnused : isDisturbed ? disturbedUnused : 1.0;
     const double allowed = (1.0 - m_floorShare) * left;
     return static_cast<std::size_t>(allowed * static_cast<double>(undisturbed));
