Leave room in the budget for all nodes that hear one hub only

Ruled out: the hubs' own counts (heard within 200 ms, share by requests). Test of the pattern: failed with the previous rule, passes now.

--- a/src/flamingofield/balance/retry_ledger.cpp
+++ b/src/flamingofield/balance/retry_ledger.cpp
@@ -12,6 +12,11 @@
 
 } // namespace
 
+std::size_t budgetSharers(bool isHub, std::size_t hubs, std::size_t liveNodes)
+{
+    return isHub ? std::max<std::size_t>(1, hubs) : std::max(hubs, liveNodes) + 1;
+}
+
 std::int64_t retry_ledger::numberAt(instant now) const
 {
     const auto width = std::chrono::duration_cast<duration>(m_terms.window) / buckets;
--- a/src/flamingofield/balance/retry_ledger.hpp
+++ b/src/flamingofield/balance/retry_ledger.hpp
@@ -25,6 +25,10 @@
     std::uint32_t repeats = 0;
 };
 
+/// Nodes that may spend the budget as one node sees it. Hubs hear each other's counts; any other node hears one hub alone and
+/// must leave room for all that are in the same place.
+std::size_t budgetSharers(bool isHub, std::size_t hubs, std::size_t liveNodes);
+
 /// Fleet-wide budget for repeats, kept by each node from its own counts and those its peers tell.
 class retry_ledger
 {
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -204,7 +204,7 @@
         }
         const std::size_t nodes = std::max<std::size_t>(1, m_hubs.size() + (isHub ? 0 : 1));
         m_targets.setTrials(trialDuty());
-        m_relay.setShare({1.0 / static_cast<double>(nodes), nodes});
+        m_relay.setShare({1.0 / static_cast<double>(nodes), budgetSharers(isHub, m_hubs.size(), m_members.live(now))});
     }
 
     /// Hubs share the trials of unused targets; other nodes do not hear enough to make any.
--- a/src/flamingofield/relay/relay.hpp
+++ b/src/flamingofield/relay/relay.hpp
@@ -42,7 +42,7 @@
 struct fleet_share
 {
     double share = 1.0; ///< Of the fleet's requests.
-    std::size_t nodes = 1; ///< That may send requests to the same targets.
+    std::size_t nodes = 1; ///< That may spend the budget for repeats.
 };
 
 /// The way of a request: match, admit, choose a target, send, judge the outcome, send again or answer.
--- a/tests/balance/waiting_line_tests.cpp
+++ b/tests/balance/waiting_line_tests.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(expectsLongerWaitsForLowerRanks);
     CPPUNIT_TEST(givesUpWhatCanNoLongerBeServed);
     CPPUNIT_TEST(boundsTheRepeatsOfAllNodesTogether);
+    CPPUNIT_TEST(boundsTheRepeatsOfNodesThatHearOneHubOnly);
     CPPUNIT_TEST_SUITE_END();
 
     static waiting_request request(std::uint64_t id, int rank, instant arrivedAt = start)
@@ -133,6 +134,30 @@
         CPPUNIT_ASSERT(repeats <= terms.ratio * requests + terms.slack);
         CPPUNIT_ASSERT(repeats > (terms.ratio * requests + terms.slack) / 3);
     }
+
+    /// Pattern: hubs stop one after the other, and callers come to nodes that hear one hub each while all requests fail.
+    void boundsTheRepeatsOfNodesThatHearOneHubOnly()
+    {
+        constexpr std::size_t hubs = 3;
+        constexpr std::size_t others = 29;
+        constexpr int requestsEach = 15;
+        const retry_terms terms{0.2, 56.0, seconds(10)};
+        int repeats = 0;
+        int requests = 300; // Of the hub that all of them hear.
+        for (std::size_t node = 0; node < others; ++node) {
+            retry_ledger ledger(terms);
+            ledger.told(1, "s", {300, 0}, start);
+            for (int i = 0; i < requestsEach; ++i, ++requests) {
+                ledger.countRequest("s", start);
+                if (ledger.mayRepeat("s", budgetSharers(false, hubs, hubs + others - 1), start)) {
+                    ledger.countRepeat("s", start);
+                    ++repeats;
+                }
+            }
+        }
+        CPPUNIT_ASSERT(repeats > 0);
+        CPPUNIT_ASSERT(repeats <= terms.ratio * requests + terms.slack);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(waiting_line_tests);
