Split the choice of a target from the table of targets

What decides where a request goes is now a set of free functions over candidates in balance/target_choice, the row has a header of its own, and the table keeps state and what peers tell.

--- /dev/null
+++ b/src/flamingofield/balance/target_row.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "balance/health_filter.hpp"
+#include "discovery/target_snapshot.hpp"
+
+#include <cstdint>
+
+namespace flamingofield {
+
+/// Load that a target reported about itself.
+struct load_report
+{
+    int running = 0;
+    int waiting = 0;
+    instant at{};
+};
+
+/// One backend server with all that this node believes of it.
+struct target_row
+{
+    target_entry entry;
+    std::uint64_t key = 0; ///< Hash of id and incarnation; names the target in messages between nodes.
+    bool isPresent = true; ///< In the newest snapshot; absent rows stay until their requests have ended.
+    instant coldUntil{};
+    instant restUntil{}; ///< After it shed a request, no new one before this time.
+    instant disturbedAt{}; ///< Last broken, unsound or very slow exchange; failure answers are no disturbance.
+    instant usedAt{}; ///< Last time that any node is known to have sent it a request.
+    int own = 0; ///< Requests of this node at the target.
+    load_report load;
+    health_filter health; ///< From answers, own and told.
+    health_filter path; ///< From connections of this node alone.
+    slowness_filter slowness;
+    std::uint32_t goodAnswers = 0; ///< Cumulative, own, told to other nodes.
+    std::uint32_t badAnswers = 0; ///< Cumulative, own, told to other nodes.
+    std::uint32_t suspicions = 0; ///< Overdue and reset requests; cumulative, own, told to other nodes.
+    instant toldAt{}; ///< Last change of what is told.
+};
+
+} // namespace flamingofield
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "balance/health_filter.hpp"
-#include "discovery/target_snapshot.hpp"
+#include "balance/target_choice.hpp"
 
 #include <cstdint>
 #include <map>
@@ -23,35 +22,6 @@
     cancelled, ///< The node broke off; says nothing about the target.
 };
 
-/// Load that a target reported about itself.
-struct load_report
-{
-    int running = 0;
-    int waiting = 0;
-    instant at{};
-};
-
-/// One backend server with all that this node believes of it.
-struct target_row
-{
-    target_entry entry;
-    std::uint64_t key = 0; ///< Hash of id and incarnation; names the target in messages between nodes.
-    bool isPresent = true; ///< In the newest snapshot; absent rows stay until their requests have ended.
-    instant coldUntil{};
-    instant restUntil{}; ///< After it shed a request, no new one before this time.
-    instant disturbedAt{}; ///< Last broken, unsound or very slow exchange; failure answers are no disturbance.
-    instant usedAt{}; ///< Last time that any node is known to have sent it a request.
-    int own = 0; ///< Requests of this node at the target.
-    load_report load;
-    health_filter health; ///< From answers, own and told.
-    health_filter path; ///< From connections of this node alone.
-    slowness_filter slowness;
-    std::uint32_t goodAnswers = 0; ///< Cumulative, own, told to other nodes.
-    std::uint32_t badAnswers = 0; ///< Cumulative, own, told to other nodes.
-    std::uint32_t suspicions = 0; ///< Overdue and reset requests; cumulative, own, told to other nodes.
-    instant toldAt{}; ///< Last change of what is told.
-};
-
 /// What another node told of one target.
 struct told_target
 {
@@ -62,20 +32,6 @@
     std::uint32_t suspicions = 0;
 };
 
-/// The request for which a target is sought.
-struct target_query
-{
-    std::string_view service;
-    duration usualWork{};
-    duration timeLeft{}; ///< Until the caller gives up.
-    duration aimLeft{}; ///< Until an answer loses most of its worth; may be negative.
-    bool mayRepeat = false;
-    duration lineWait{}; ///< Expected wait behind the requests that wait already.
-    const std::vector<std::string> *excluded = nullptr; ///< Ids that already had the request.
-    double unservedShare = 0.0; ///< Part of the service's recent requests that was not served.
-    int reservedSlots = 0; ///< Free slots of the service that more urgent work keeps.
-};
-
 /// Mean work that occupies a slot. Long work fills more of the time than its share of the requests, so each request counts
 /// by its length.
 struct slot_occupancy
@@ -84,26 +40,6 @@
     double sum = 0.0; ///< Sum of work times in seconds, fading.
 };
 
-/// A chosen target and why.
-struct target_choice
-{
-    target_row *row = nullptr;
-    double utility = 0.0; ///< Expected share of the request's worth, less what distance and load cost.
-    double sickness = 0.0;
-    double slowness = 1.0;
-    int inFlight = 0;
-    int freeSlots = 0; ///< Of the service's sound targets before this request.
-    bool isTrial = false; ///< Chosen because nobody has used it for a while.
-};
-
-/// This node's part of the trials of unused targets. Only nodes that hear of all others' requests know which ones are unused;
-/// each target has one of them as its first trier, so that they do not all try it at once.
-struct trial_duty
-{
-    std::size_t triers = 0; ///< Nodes that make trials; zero if this one makes none.
-    std::size_t index = 0; ///< This node's place among them.
-};
-
 /// Table of all targets; the functions that decide where work goes read it. No network, no clock.
 class target_table
 {
@@ -116,10 +52,7 @@
     /// @return ids that came, left or began to drain
     std::vector<std::string> apply(const target_snapshot &snapshot, instant now);
 
-    /// Target with the best expected outcome that has a free slot. None if waiting for a better one promises more.
-    ///
-    /// Of the targets without a disturbance, most keep getting work whatever is believed of them: one that nobody has used
-    /// for a while goes first, unless it is among the few sickest.
+    /// Target for a request, see chooseAmong().
     std::optional<target_choice> choose(const target_query &query, instant now);
 
     void started(target_row &row);
@@ -177,23 +110,9 @@
         instant heardAt{};
     };
 
-    struct candidate;
-
-    /// How long a target may be unused before this node tries it.
-    duration trialAfter(const target_row &row, bool mayRepeat) const;
-    std::size_t mayStayUnused(const std::vector<candidate> &candidates, double unservedShare, instant now) const;
-    /// Marks the targets that this request should try because nobody has used them for a while.
-    void markTrials(std::vector<candidate> &candidates, const target_query &query, instant now) const;
-    double utilityOf(const candidate &each) const;
-    /// Utility with what decides among near equals.
-    double orderOf(const candidate &each, instant now) const;
-    double bestPromiseOfWaiting(const std::vector<candidate> &candidates, const target_query &query, instant now) const;
-    std::vector<candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
-    /// Time until one of a busy target's slots becomes free.
-    duration slotFrees(const target_row &row, const target_query &query, instant now) const;
-
-    /// Expected share of the request's worth if the target begins with it after a delay.
-    double promiseOf(const target_row &row, const target_query &query, duration delay, instant now) const;
+    std::vector<target_candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
+    /// Mean work that occupies a slot of the service, zero if unknown.
+    duration slotWork(std::string_view service) const;
     void removeEnded();
     std::vector<std::uint64_t> presentKeys() const;
 
