Log the loss of a peer and the suspicion of a target

Both changed what a node believes without a line. peer_lost comes once for a member that used to speak to this node and fell silent for its lease; target_suspected names the request that runs too long. Their tests were written with them.

--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -195,6 +195,10 @@
     void updateRoles(instant now)
     {
         m_members.setReady(isReady());
+        for (const node_address peer : m_members.takeLost(now)) {
+            logEvent(log_level::warn, "peer_lost",
+                     {{"peer", toText(peer)}, {"silent_ms", std::to_string(member_table::memberLease.count())}});
+        }
         m_rank = m_members.readerRank(now);
         m_hubs = m_members.readyHubs(now);
         const bool isHub
--- a/src/flamingofield/mesh/member_table.cpp
+++ b/src/flamingofield/mesh/member_table.cpp
@@ -196,7 +196,10 @@
             continue;
         }
         live += isLive(row, now) ? 1 : 0;
-        const duration interval = intervalTo(row, hubSet.count(row.member.address) != 0, selfIsHub, isBusy, now);
+        const bool isHub = hubSet.count(row.member.address) != 0;
+        const bool isNear = row.member.dataCentre == m_self.dataCentre;
+        row.isExpected = row.isExpected || (isLive(row, now) && ((selfIsHub && isHub) || (isNear && (selfIsHub || isHub))));
+        const duration interval = intervalTo(row, isHub, selfIsHub, isBusy, now);
         if (interval != duration::max() && now - row.sentAt >= interval) {
             row.sentAt = now;
             due.push_back(row.member.address);
@@ -216,6 +219,20 @@
     return due;
 }
 
+std::vector<node_address> member_table::takeLost(instant now)
+{
+    std::vector<node_address> lost;
+    for (auto &[address, row] : m_rows) {
+        if (row.isExpected && !isLive(row, now)) {
+            row.isExpected = false;
+            if (!row.isLeaving) {
+                lost.push_back(address);
+            }
+        }
+    }
+    return lost;
+}
+
 void member_table::hurry()
 {
     for (auto &[address, row] : m_rows) {
--- a/src/flamingofield/mesh/member_table.hpp
+++ b/src/flamingofield/mesh/member_table.hpp
@@ -16,6 +16,7 @@
     bool isLeaving = false;
     instant heardAt{}; ///< When the member itself last spoke, as far as this node or whoever told it knows.
     instant sentAt{}; ///< Last message to it.
+    bool isExpected = false; ///< It is live and sends to this node regularly.
 };
 
 /// Nodes of the fleet and who speaks to whom.
@@ -55,6 +56,9 @@
     /// @param isBusy this node has requests in flight, of which the hubs must know
     std::vector<node_address> takeDue(bool isBusy, instant now);
 
+    /// Members that used to speak to this node and are taken for dead since the last call. Those that said they leave are none.
+    std::vector<node_address> takeLost(instant now);
+
     /// Makes messages to all known members due at once.
     void hurry();
 
--- a/src/flamingofield/relay/relay.cpp
+++ b/src/flamingofield/relay/relay.cpp
@@ -267,6 +267,12 @@
         row.isOverdue = true;
         if (target_row *target = m_targets.find(row.targetKey)) {
             m_targets.suspect(*target, now);
+            logEvent(log_level::info, "target_suspected",
+                     {{"id", row.id},
+                      {"target", target->entry.id},
+                      {"running_ms", milliText(now - row.sentAt)},
+                      {"usual_ms", milliText(usualWorkOf(row))},
+                      {"sickness", number(target->health.sickness(now))}});
         }
     }
     if (now >= row.giveUpAt + answerGrace) {
--- a/tests/mesh/member_table_tests.cpp
+++ b/tests/mesh/member_table_tests.cpp
@@ -73,9 +73,35 @@
     CPPUNIT_TEST(choosesHubsThatCanCarryTheirPart);
     CPPUNIT_TEST(leavesOutAHubThatSaysItLeaves);
     CPPUNIT_TEST(ignoresOldNewsOfANodeThatStartedAgain);
+    CPPUNIT_TEST(reportsAMemberThatFallsSilentOnce);
     CPPUNIT_TEST(survivesMessagesThatAreNoMessages);
     CPPUNIT_TEST_SUITE_END();
 
+    void reportsAMemberThatFallsSilentOnce()
+    {
+        paper_network network(6, 1);
+        const auto lostOf = [&](std::size_t node) { return network.tables[node].takeLost(network.now); };
+        for (int i = 0; i < 10; ++i) {
+            network.run(seconds(1));
+            for (std::size_t node = 0; node < network.tables.size(); ++node) {
+                CPPUNIT_ASSERT(lostOf(node).empty());
+            }
+        }
+        const node_address hub = network.tables[0].hubs("dc0", network.now).front();
+        network.run(seconds(2), {hub});
+        std::size_t told = 0;
+        for (std::size_t node = 0; node < network.tables.size(); ++node) {
+            if (node + 1 != hub) {
+                const auto lost = lostOf(node);
+                CPPUNIT_ASSERT((lost == std::vector<node_address>{hub}));
+                ++told;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), told);
+        network.run(seconds(2), {hub});
+        CPPUNIT_ASSERT(lostOf(hub % 6).empty());
+    }
+
     static std::set<node_address> hubsSeenBy(const member_table &table, instant now)
     {
         std::set<node_address> addresses;
--- a/tests/relay/relay_tests.cpp
+++ b/tests/relay/relay_tests.cpp
@@ -205,6 +205,7 @@
     CPPUNIT_TEST(takesNoUnsealedOrEncodedSuccess);
     CPPUNIT_TEST(doesNotTakeAnUnframedAnswerThatIsResetForWhole);
     CPPUNIT_TEST(answersAtTheRoutesTimeout);
+    CPPUNIT_TEST(logsWhyATargetIsSuspected);
     CPPUNIT_TEST(cancelsIdempotentWorkWhenItsCallerLeaves);
     CPPUNIT_TEST(letsUnsafeWorkEndWhenItsCallerLeaves);
     CPPUNIT_TEST(refusesWithoutConfigurationAndWithoutTargets);
@@ -376,6 +377,19 @@
         CPPUNIT_ASSERT_EQUAL(502, reset.await(reset.send("/write/", "id1")));
     }
 
+    void logsWhyATargetIsSuspected()
+    {
+        constexpr int usualRequests = 20;
+        int calls = 0;
+        bench b({[&](const backend_request &request) { return ++calls > usualRequests ? hang(request) : serve(request); }});
+        for (int i = 0; i < usualRequests; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "usual")));
+        }
+        const test_support::log_recorder log;
+        CPPUNIT_ASSERT_EQUAL(504, b.await(b.send("/write/", "id1")));
+        CPPUNIT_ASSERT(log.contains("event=target_suspected id=id1 target=t0 running_ms="));
+    }
+
     void answersAtTheRoutesTimeout()
     {
         bench b({hang});
