Count use by requests sent, see disturbances and overdue requests of all hubs in time

A request that hung on a cut link renewed the target's last use at the other hubs with every message, since counts in flight were set to zero before they were compared. Trials came 1.2 to 1.8 s after the request was broken off. 2. One hub saw the cut links; the others, without a disturbance of their own, let 33 of 130 targets be. 3. Requests that hang count as unserved only when their caller's time is over, three seconds after the cut. 4. When the margin narrows, all hubs tried the same targets within 20 ms, up to four times each. Change: targets' messages carry the number of requests sent and of disturbances (format 6); disturbances told by peers set the margin but spare no target from trials; a request counts as unserved while it is overdue; hubs other than the first trier wait from the moment a trial is due, not from the last use. request_sent logs the share and the margin. Tests: the four patterns in target_table_tests and outcome_window_tests failed before.

--- a/src/flamingofield/balance/outcome_window.cpp
+++ b/src/flamingofield/balance/outcome_window.cpp
@@ -21,6 +21,16 @@
     ++(wasServed ? entry.outcomes.served : entry.outcomes.unserved);
 }
 
+void outcome_window::becameOverdue(std::string_view service)
+{
+    ++rowOf(service).overdue;
+}
+
+void outcome_window::overdueEnded(std::string_view service)
+{
+    --rowOf(service).overdue;
+}
+
 void outcome_window::told(std::uint64_t peer, std::string_view service, recent_outcomes outcomes, instant now)
 {
     rowOf(service).peers[peer] = {now, outcomes};
@@ -31,6 +41,7 @@
     recent_outcomes total;
     const auto found = m_rows.find(service);
     if (found != m_rows.end()) {
+        total.unserved = found->second.overdue;
         const std::int64_t oldest = now.time_since_epoch() / bucketWidth - static_cast<std::int64_t>(buckets);
         for (const auto &entry : found->second.own) {
             total.served += entry.number > oldest ? entry.outcomes.served : 0;
--- a/src/flamingofield/balance/outcome_window.hpp
+++ b/src/flamingofield/balance/outcome_window.hpp
@@ -23,6 +23,11 @@
 public:
     void count(std::string_view service, bool wasServed, instant now);
 
+    /// Counts a request that runs for several times the usual time as unserved until it ends: callers' time limits are
+    /// seconds away, and by then the window would be over.
+    void becameOverdue(std::string_view service);
+    void overdueEnded(std::string_view service);
+
     /// Takes up a peer's own counts.
     void told(std::uint64_t peer, std::string_view service, recent_outcomes outcomes, instant now);
 
@@ -53,6 +58,7 @@
     struct service_row
     {
         std::array<bucket, buckets> own;
+        std::uint32_t overdue = 0; ///< In flight.
         std::map<std::uint64_t, told_outcomes> peers;
     };
 
--- a/src/flamingofield/balance/target_choice.cpp
+++ b/src/flamingofield/balance/target_choice.cpp
@@ -31,7 +31,7 @@
 constexpr milliseconds trialInterval{1450};
 /// The same for idempotent requests, the cheaper trials, which therefore come first.
 constexpr milliseconds trialIntervalIdempotent{1100};
-/// Added for the other triers, who step in if the first one has no request; above the time that news takes between them.
+/// The other triers step in if the first one has no request for this long; above the time that news takes between them.
 constexpr milliseconds otherTrierDelay{250};
 /// Part of a service's requests that are not served above which hardly any target is left out. The floor binds from a tenth on.
 constexpr double troubledShare = 0.09;
@@ -81,20 +81,18 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
-/// How long a target may be unused before this node tries it.
-duration trialAfter(const target_row &row, const trial_duty &trials, bool mayRepeat)
+/// True if this node is to try a target that has been found unused for too long: the first trier at once, others if it does not.
+bool isOwnTrial(const target_row &row, const trial_duty &trials, instant now)
 {
-    if (trials.triers == 0) {
-        return duration::max();
-    }
     const bool isFirst = row.key % trials.triers == trials.index;
-    return (mayRepeat ? trialIntervalIdempotent : trialInterval) + (isFirst ? milliseconds(0) : otherTrierDelay);
+    return isFirst || now - row.trialDueAt >= otherTrierDelay;
 }
 
 std::size_t mayStayUnused(const std::vector<target_candidate> &candidates, double unservedShare, double floorShare, instant now)
 {
-    const auto undisturbed = std::count_if(candidates.begin(), candidates.end(),
-                                           [&](const target_candidate &each) { return now - each.row->disturbedAt > disturbanceTime; });
+    const auto undisturbed = std::count_if(candidates.begin(), candidates.end(), [&](const target_candidate &each) {
+        return now - std::max(each.row->disturbedAt, each.row->disturbedElsewhereAt) > disturbanceTime;
+    });
     const double all = static_cast<double>(candidates.size());
     const double disturbed = all - static_cast<double>(undisturbed);
     const bool isDisturbed = disturbed >= leastDisturbed && disturbed > disturbedShare * all;
@@ -104,22 +102,27 @@
 }
 
 /// Marks the targets that this request should try because nobody has used them for a while.
-void markTrials(std::vector<target_candidate> &candidates, const target_query &query, const choice_terms &terms, instant now)
+void markTrials(std::vector<target_candidate> &candidates, const target_query &query, const choice_terms &terms, std::size_t unusedAllowed,
+                instant now)
 {
     const bool isRepeat = query.excluded != nullptr && !query.excluded->empty();
-    if (isRepeat) {
+    if (isRepeat || terms.trials.triers == 0) {
         return; // A request that has failed once goes where it promises most.
     }
+    const duration interval = query.mayRepeat ? trialIntervalIdempotent : trialInterval;
     // From the sickest to the soundest, the first few undisturbed ones without work are let be.
-    std::size_t unusedLeft = mayStayUnused(candidates, query.unservedShare, terms.floorShare, now);
+    std::size_t unusedLeft = unusedAllowed;
     for (target_candidate &each : candidates) {
-        const bool isDue = each.isFree && now - each.row->disturbedAt > disturbanceTime
-            && now - each.row->usedAt > trialAfter(*each.row, terms.trials, query.mayRepeat);
-        if (isDue && unusedLeft > 0) {
-            --unusedLeft;
-        } else {
-            each.isTrial = isDue;
+        target_row &row = *each.row;
+        const bool isUnused = each.isFree && now - row.disturbedAt > disturbanceTime && now - row.usedAt > interval;
+        const bool isDue = isUnused && unusedLeft == 0;
+        unusedLeft -= isUnused && unusedLeft > 0 ? 1 : 0;
+        if (!isDue) {
+            row.trialDueAt = isUnused || now - row.usedAt <= trialIntervalIdempotent ? instant{} : row.trialDueAt;
+            continue;
         }
+        row.trialDueAt = row.trialDueAt == instant{} ? now : row.trialDueAt;
+        each.isTrial = isOwnTrial(row, terms.trials, now);
     }
 }
 
@@ -189,7 +192,8 @@
 {
     std::sort(candidates.begin(), candidates.end(),
               [](const target_candidate &a, const target_candidate &b) { return a.sickness > b.sickness; });
-    markTrials(candidates, query, terms, now);
+    const std::size_t unusedAllowed = mayStayUnused(candidates, query.unservedShare, terms.floorShare, now);
+    markTrials(candidates, query, terms, unusedAllowed, now);
     const target_candidate *best = firstInOrder(candidates, terms, now);
     if (best == nullptr) {
         return std::nullopt;
@@ -206,9 +210,17 @@
     if (isReserved || isWorthWaiting) {
         return std::nullopt;
     }
-    return target_choice{
-        best->row,    utilityOf(*best, terms.dataCentre), best->sickness, best->row->slowness.ratio(now), best->inFlight, freeSlots,
-        best->isTrial};
+    target_choice choice;
+    choice.row = best->row;
+    choice.utility = utilityOf(*best, terms.dataCentre);
+    choice.sickness = best->sickness;
+    choice.slowness = best->row->slowness.ratio(now);
+    choice.inFlight = best->inFlight;
+    choice.freeSlots = freeSlots;
+    choice.isTrial = best->isTrial;
+    choice.unservedShare = query.unservedShare;
+    choice.mayStayUnused = unusedAllowed;
+    return choice;
 }
 
 } // namespace flamingofield
--- a/src/flamingofield/balance/target_choice.hpp
+++ b/src/flamingofield/balance/target_choice.hpp
@@ -33,6 +33,8 @@
     int inFlight = 0;
     int freeSlots = 0; ///< Of the service's sound targets before this request.
     bool isTrial = false; ///< Chosen because nobody has used it for a while.
+    double unservedShare = 0.0; ///< As the query had it.
+    std::size_t mayStayUnused = 0; ///< Undisturbed targets that need no trial.
 };
 
 /// This node's part of the trials of unused targets. Only nodes that hear of all others' requests know which ones are unused;
--- a/src/flamingofield/balance/target_row.hpp
+++ b/src/flamingofield/balance/target_row.hpp
@@ -23,15 +23,19 @@
     bool isPresent = true; ///< In the newest snapshot; absent rows stay until their requests have ended.
     instant coldUntil{};
     instant restUntil{}; ///< After it shed a request, no new one before this time.
-    instant disturbedAt{}; ///< Last broken, unsound or very slow exchange; failure answers are no disturbance.
+    instant disturbedAt{}; ///< Last broken, unsound or very slow exchange of this node; failure answers are no disturbance.
+    instant disturbedElsewhereAt{}; ///< The same of other nodes, as they tell.
     instant usedAt{}; ///< Last time that any node is known to have sent it a request.
+    instant trialDueAt{}; ///< Since when this node finds that some node must try it; the origin if none must.
     int own = 0; ///< Requests of this node at the target.
     load_report load;
     health_filter health; ///< From answers, own and told.
     health_filter path; ///< From connections of this node alone.
     slowness_filter slowness;
+    std::uint32_t sent = 0; ///< Requests; cumulative, own, told to other nodes.
     std::uint32_t goodAnswers = 0; ///< Cumulative, own, told to other nodes.
     std::uint32_t badAnswers = 0; ///< Cumulative, own, told to other nodes.
+    std::uint32_t disturbances = 0; ///< Times that disturbedAt was set; cumulative, own, told to other nodes.
     std::uint32_t suspicions = 0; ///< Overdue and reset requests; cumulative, own, told to other nodes.
     instant toldAt{}; ///< Last change of what is told.
 };
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -32,6 +32,12 @@
     occupancy.sum = occupancy.sum * occupancyMemory + work;
 }
 
+void disturbed(target_row &row, instant now)
+{
+    row.disturbedAt = now;
+    ++row.disturbances;
+}
+
 std::uint64_t keyOf(const target_entry &entry)
 {
     return hashOf(entry.id, static_cast<std::uint64_t>(entry.startedAtMs));
@@ -152,6 +158,7 @@
 void target_table::started(target_row &row)
 {
     ++row.own;
+    ++row.sent;
 }
 
 void target_table::finished(target_row &row, target_outcome outcome, duration taken, duration usualWork, instant now)
@@ -164,7 +171,7 @@
         row.slowness.observe(taken, usualWork, now);
         occupied(m_occupancy[row.entry.service], taken);
         if (row.slowness.ratio(now) > disturbedSlowness) {
-            row.disturbedAt = now;
+            disturbed(row, now);
         }
         ++row.goodAnswers;
         break;
@@ -179,16 +186,16 @@
         break;
     case target_outcome::broken:
         row.path.observe(brokenConnection, now);
-        row.disturbedAt = now;
+        disturbed(row, now);
         break;
     case target_outcome::reset:
         row.path.observe(goodAnswer, now);
-        row.disturbedAt = now;
+        disturbed(row, now);
         suspect(row, now);
         break;
     case target_outcome::cancelled:
         if (taken > usualWork * disturbedDelay) {
-            row.disturbedAt = now;
+            disturbed(row, now);
         }
         break;
     }
@@ -217,16 +224,22 @@
     }
     for (const auto &row : rows) {
         auto [position, isNew] = counts.rows.try_emplace(row.key, row);
-        const told_target before = isNew ? told_target{row.key, 0, 0, 0, 0} : position->second;
+        told_target before = position->second;
+        if (isNew) {
+            before = {};
+        }
         position->second = row;
         target_row *target = find(row.key);
         // A peer's first message sums up its whole past, which is no news.
         if (target == nullptr || isFirst) {
             continue;
         }
-        if (row.inFlight > before.inFlight || row.goodAnswers != before.goodAnswers || row.badAnswers != before.badAnswers) {
+        if (row.sent != before.sent) {
             target->usedAt = now;
         }
+        if (row.disturbances > before.disturbances) {
+            target->disturbedElsewhereAt = now;
+        }
         constexpr std::uint32_t mostAtOnce = 8;
         const auto repeat = [&](std::uint32_t newer, std::uint32_t older, evidence_weight weight) {
             const std::uint32_t times = newer > older ? std::min(newer - older, mostAtOnce) : 0;
@@ -250,7 +263,8 @@
     for (const auto &[key, row] : m_rows) {
         const bool isRecent = row.toldAt != instant{} && now - row.toldAt < tellTime;
         if (row.own > 0 || isRecent) {
-            told.push_back({key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.suspicions});
+            told.push_back(
+                {key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.suspicions, row.disturbances, row.sent});
         }
     }
     return told;
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -30,6 +30,8 @@
     std::uint32_t goodAnswers = 0;
     std::uint32_t badAnswers = 0;
     std::uint32_t suspicions = 0;
+    std::uint32_t disturbances = 0;
+    std::uint32_t sent = 0;
 };
 
 /// Mean work that occupies a slot. Long work fills more of the time than its share of the requests, so each request counts
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// First element of each message; changes with its layout.
-constexpr int messageFormat = 5;
+constexpr int messageFormat = 6;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -89,8 +89,9 @@
 
 void pack(packer &out, const told_target &target)
 {
-    out.pack_array(5);
+    out.pack_array(7);
     out.pack(target.key).pack(target.inFlight).pack(target.goodAnswers).pack(target.badAnswers).pack(target.suspicions);
+    out.pack(target.disturbances).pack(target.sent);
 }
 
 told_target unpackTold(const msgpack::object &object)
@@ -102,6 +103,8 @@
     target.goodAnswers = in.as<std::uint32_t>();
     target.badAnswers = in.as<std::uint32_t>();
     target.suspicions = in.as<std::uint32_t>();
+    target.disturbances = in.as<std::uint32_t>();
+    target.sent = in.as<std::uint32_t>();
     return target;
 }
 
--- a/src/flamingofield/relay/relay.cpp
+++ b/src/flamingofield/relay/relay.cpp
@@ -237,6 +237,8 @@
               {"in_flight", std::to_string(choice.inFlight)},
               {"free_slots", std::to_string(choice.freeSlots)},
               {"trial", choice.isTrial ? "yes" : "no"},
+              {"unserved", number(choice.unservedShare)},
+              {"may_stay_unused", std::to_string(choice.mayStayUnused)},
               {"waited_ms", milliText(now - row.arrivedAt)},
               {"left_ms", milliText(row.giveUpAt - now)}});
 }
@@ -265,6 +267,7 @@
     const auto overdueAfter = std::max<duration>(leastOverdue, std::chrono::duration_cast<duration>(usualWorkOf(row) * overdueFactor));
     if (!row.isOverdue && now - row.sentAt > overdueAfter) {
         row.isOverdue = true;
+        m_outcomes.becameOverdue(row.service);
         if (target_row *target = m_targets.find(row.targetKey)) {
             m_targets.suspect(*target, now);
             logEvent(log_level::info, "target_suspected",
--- a/src/flamingofield/relay/relay_outcome.cpp
+++ b/src/flamingofield/relay/relay_outcome.cpp
@@ -85,6 +85,9 @@
     request_row &row = *found->second;
     const std::string service = row.service;
     row.current = nullptr;
+    if (row.isOverdue) {
+        m_outcomes.overdueEnded(row.service);
+    }
     target_row *target = m_targets.find(targetKey);
     const duration taken = now - row.sentAt;
     row.arrivals += result.verdict == exchange_verdict::notSent ? 0 : 1;
--- a/tests/balance/outcome_window_tests.cpp
+++ b/tests/balance/outcome_window_tests.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(addsWhatPeersTell);
     CPPUNIT_TEST(forgetsAfterAFewSeconds);
     CPPUNIT_TEST(keepsServicesApart);
+    CPPUNIT_TEST(takesOverdueRequestsForUnserved);
     CPPUNIT_TEST_SUITE_END();
 
     void addsWhatPeersTell()
@@ -40,6 +41,24 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, window.unservedShare("s", start + milliseconds(3500)), 1e-9);
     }
 
+    /// Pattern: targets fall silent, and their requests end only when the callers' time is over.
+    void takesOverdueRequestsForUnserved()
+    {
+        outcome_window window;
+        for (int i = 0; i < 84; ++i) {
+            window.count("s", true, start);
+        }
+        for (int i = 0; i < 16; ++i) {
+            window.becameOverdue("s");
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.12, window.unservedShare("s", start), 1e-9); // 16 less its root.
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(16), window.own("s", start).unserved);
+        for (int i = 0; i < 16; ++i) {
+            window.overdueEnded("s");
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, window.unservedShare("s", start), 1e-9);
+    }
+
     void keepsServicesApart()
     {
         outcome_window window;
--- a/tests/balance/target_table_tests.cpp
+++ b/tests/balance/target_table_tests.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(learnsFromPeersWhichTargetsFail);
     CPPUNIT_TEST(learnsFromPeersWhichTargetsResetNewConnections);
     CPPUNIT_TEST(triesUnusedTargetsLessOftenWhenEachHasAFirstTrier);
+    CPPUNIT_TEST(triesOnceWhatBecomesDueForAllNodesAtOnce);
+    CPPUNIT_TEST(takesARequestThatHangsElsewhereForNoFurtherUse);
     CPPUNIT_TEST(takesOverTheBeliefsOfABusierNode);
     CPPUNIT_TEST(prefersTheOwnDataCentreAmongEquals);
     CPPUNIT_TEST_SUITE_END();
@@ -184,7 +186,9 @@
     }
 
     /// Targets in use within two seconds when three in ten are believed to be sick.
-    static std::size_t targetsInUse(double unservedShare, int disturbed = 0)
+    /// @param disturbed targets to which the connections of this node break
+    /// @param disturbedElsewhere targets to which a peer's break, as it tells
+    static std::size_t targetsInUse(double unservedShare, int disturbed = 0, int disturbedElsewhere = 0)
     {
         constexpr int targets = 40;
         target_table table("here", 1);
@@ -199,6 +203,16 @@
             table.started(*cut);
             table.finished(*cut, target_outcome::broken, milliseconds(200), work, start);
         }
+        constexpr std::uint64_t peer = 9;
+        target_table elsewhere("there", 2);
+        elsewhere.apply(snapshot(targets), start);
+        table.told(peer, elsewhere.tell(start), start);
+        for (int i = 0; i < disturbedElsewhere; ++i) {
+            target_row *cut = elsewhere.find(keyOf(elsewhere, "t" + std::to_string(targets - 1 - i)));
+            elsewhere.started(*cut);
+            elsewhere.finished(*cut, target_outcome::broken, milliseconds(200), work, start);
+        }
+        table.told(peer, elsewhere.tell(start), start);
         target_query asked = query();
         asked.unservedShare = unservedShare;
         std::map<std::string, instant> usedAt;
@@ -221,6 +235,8 @@
         CPPUNIT_ASSERT(targetsInUse(0.12) >= 38); // A tenth of the three tenths, and what is due at the moment.
         // Disturbances show before requests fail.
         CPPUNIT_ASSERT(targetsInUse(0.02, 4) >= 31); // Of 36 without a disturbance four may stay unused, one is due.
+        // One hub sees them first: links are cut between some nodes and some targets.
+        CPPUNIT_ASSERT(targetsInUse(0.02, 0, 4) >= 31);
     }
 
     /// Pattern: at any time three in ten targets fail three quarters of their requests for some seconds.
@@ -349,6 +365,83 @@
         CPPUNIT_ASSERT(trialsOf(true) * 10 < withoutFirstTriers * 9);
     }
 
+    /// Pattern: many requests begin to fail, and all hubs find that the same targets, left out so far, must be used.
+    void triesOnceWhatBecomesDueForAllNodesAtOnce()
+    {
+        constexpr std::size_t nodes = 4;
+        constexpr int targets = 40;
+        constexpr int sickTargets = 12;
+        std::vector<target_table> tables;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            tables.emplace_back("here", i + 1);
+            tables.back().apply(snapshot(targets), start);
+            tables.back().setTrials({nodes, i});
+        }
+        const auto tellAll = [&](instant now) {
+            for (std::size_t to = 0; to < nodes; ++to) {
+                for (std::size_t from = 0; from < nodes; ++from) {
+                    if (from != to) {
+                        tables[to].told(from, tables[from].tell(now), now);
+                    }
+                }
+            }
+        };
+        const instant troubledAt = start + seconds(3);
+        const instant end = troubledAt + milliseconds(400);
+        std::map<std::string, int> trials;
+        int step = 0;
+        for (instant now = start; now < end; now += milliseconds(5), ++step) {
+            for (int sick = 0; sick < sickTargets && step % 100 == 0; ++sick) {
+                target_row *row = tables[static_cast<std::size_t>(sick) % nodes].find(keyOf(tables[0], "t" + std::to_string(sick)));
+                row->health.observe(failedAnswer, now);
+                for (auto &table : tables) {
+                    table.find(row->key)->health.adopt(row->health.sickness(now), now);
+                }
+            }
+            target_table &table = tables[static_cast<std::size_t>(step) % nodes];
+            target_query asked = query();
+            asked.unservedShare = now < troubledAt ? 0.0 : 0.15;
+            const auto choice = table.choose(asked, now);
+            CPPUNIT_ASSERT(choice.has_value());
+            if (now >= troubledAt && choice->isTrial) {
+                ++trials[choice->row->entry.id];
+            }
+            table.started(*choice->row);
+            table.finished(*choice->row, target_outcome::served, milliseconds(1), work, now);
+            if (step % 12 == 0) { // 60 ms, the pace between hubs of one data centre
+                tellAll(now);
+            }
+        }
+        int all = 0;
+        for (const auto &[id, count] : trials) {
+            all += count;
+        }
+        CPPUNIT_ASSERT(trials.size() >= 10); // All but the tenth of three tenths that may stay unused, and one that is due.
+        CPPUNIT_ASSERT(all * 10 <= static_cast<int>(trials.size()) * 12);
+    }
+
+    /// Pattern: a peer's link to a target is cut, and its request hangs there until its caller's time is over.
+    void takesARequestThatHangsElsewhereForNoFurtherUse()
+    {
+        constexpr std::uint64_t peer = 9;
+        target_table table("here", 1);
+        target_table elsewhere("there", 2);
+        table.apply(snapshot(2), start);
+        elsewhere.apply(snapshot(2), start);
+        table.told(peer, elsewhere.tell(start), start);
+        target_row *hung = elsewhere.find(keyOf(elsewhere, "t0"));
+        elsewhere.started(*hung);
+        instant now = start;
+        for (; now < start + seconds(3); now += milliseconds(100)) {
+            table.told(peer, elsewhere.tell(now), now);
+        }
+        CPPUNIT_ASSERT(table.find(hung->key)->usedAt == start);
+        CPPUNIT_ASSERT_EQUAL(1, table.inFlight(*table.find(hung->key), now));
+        elsewhere.started(*hung);
+        table.told(peer, elsewhere.tell(now), now);
+        CPPUNIT_ASSERT(table.find(hung->key)->usedAt == now);
+    }
+
     /// Pattern: a hub stops, and a node that has seen no work takes over its callers at once.
     void takesOverTheBeliefsOfABusierNode()
     {
