--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -1,11 +1,12 @@
 #include "edge/edge_node.hpp"
 
 #include "core/hash.hpp"
+#include "edge/directory.hpp"
 #include "edge/shared_knowledge.hpp"
+#include "edge/stop_sequence.hpp"
 #include "mesh/mesh_socket.hpp"
 #include "report/log.hpp"
 
-#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -20,42 +21,14 @@
 constexpr milliseconds idleTick{50};
 /// Pace of the checks of client connections.
 constexpr milliseconds connectionTick{250};
-/// For a planned stop: callers keep addresses for some seconds and find out here that the node leaves.
-constexpr milliseconds acceptAfterStop{2200};
-/// Left of the grace period for the last answers to reach the callers.
-constexpr milliseconds lastAnswers{450};
-/// For answers to leave the process after the last request.
-constexpr milliseconds flushTime{150};
 /// How long callers may keep an address answer; short, since any VM may go at any time.
 constexpr seconds addressTtl{2};
-/// With fewer hubs in the caller's data centre it is told those of others too.
-constexpr std::size_t enoughNearHubs = 2;
-constexpr std::size_t mostAddresses = 64;
+/// A node that knows fewer live members than this asks for more.
+constexpr std::size_t fewMembers = 2;
 constexpr milliseconds peerFetchTimeout{600};
 /// Pace at which members are listed to other data centres.
 constexpr milliseconds farMembersInterval{1000};
 
-node_address toNodeAddress(const std::string &text)
-{
-    boost::system::error_code failure;
-    const auto address = boost::asio::ip::make_address_v4(text, failure);
-    return failure ? 0 : address.to_uint();
-}
-
-std::string toText(node_address address)
-{
-    return boost::asio::ip::address_v4(address).to_string();
-}
-
-std::vector<node_address> toNodeAddresses(const std::vector<std::string> &texts)
-{
-    std::vector<node_address> addresses;
-    for (const auto &text : texts) {
-        addresses.push_back(toNodeAddress(text));
-    }
-    return addresses;
-}
-
 std::uint32_t capacityOf(const edge_settings &settings)
 {
     return static_cast<std::uint32_t>(std::max(1.0, settings.cores * mesh_member::wholeCore));
@@ -144,23 +117,23 @@
 
     void stop()
     {
-        if (m_isStopping) {
+        if (m_stop.isRunning()) {
             return;
         }
-        m_isStopping = true;
-        m_stoppedAt = std::chrono::steady_clock::now();
+        const instant now = std::chrono::steady_clock::now();
+        m_stop.begin(now);
         logEvent(log_level::info, "stopping",
                  {{"in_flight", std::to_string(m_relay.inFlight())}, {"grace_ms", std::to_string(toMilliseconds(m_settings.gracePeriod))}});
         m_members.setReady(false);
         m_gate.beginDraining();
         m_members.hurry();
-        tellPeers(m_stoppedAt);
+        tellPeers(now);
     }
 
 private:
     bool isReady() const
     {
-        return !m_isStopping && m_knowledge.isComplete();
+        return !m_stop.isRunning() && m_knowledge.isComplete();
     }
 
     void tick()
@@ -181,7 +154,7 @@
             }
             m_connections.expire(now);
         }
-        if (m_isStopping && proceedStop(now)) {
+        if (proceedStop(now)) {
             return;
         }
         m_timer.expires_after(m_relay.inFlight() > 0 ? busyTick : idleTick);
@@ -228,22 +201,18 @@
     /// @return true if the process is done
     bool proceedStop(instant now)
     {
-        const duration since = now - m_stoppedAt;
-        if (since >= acceptAfterStop && !m_isClosed) {
-            m_isClosed = true;
+        switch (m_stop.next(m_settings.gracePeriod, m_gate.pending(), now)) {
+        case stop_step::none:
+            break;
+        case stop_step::refuseNew:
             m_gate.stopAccepting();
             m_relay.refuseNew();
-        }
-        const duration grace = m_settings.gracePeriod;
-        if (since >= grace - lastAnswers && !m_isAbandoned) {
-            m_isAbandoned = true;
+            break;
+        case stop_step::abandon:
             m_relay.abandonAll();
-        }
-        if (!m_isClosed || (m_gate.pending() > 0 && !m_isAbandoned)) {
-            m_endedAt = now;
-        }
-        if (m_isClosed && now - m_endedAt >= flushTime) {
-            logEvent(log_level::info, "stopped", {{"after_ms", std::to_string(toMilliseconds(since))}});
+            break;
+        case stop_step::end:
+            logEvent(log_level::info, "stopped", {{"after_ms", std::to_string(toMilliseconds(m_stop.since(now)))}});
             m_loop.stop();
             return true;
         }
@@ -261,8 +230,8 @@
         }
         mesh_message message;
         message.sender = m_members.self();
-        message.isLeaving = m_isStopping;
-        message.wantsReply = m_members.live(now) < enoughNearHubs;
+        message.isLeaving = m_stop.isRunning();
+        message.wantsReply = m_members.live(now) < fewMembers;
         message.knowledge = m_knowledge.tell(now);
         message.targets = m_targets.tell(now);
         for (const auto &[service, counts] : m_retries.tell(now)) {
@@ -316,7 +285,7 @@
     {
         mesh_message answer;
         answer.sender = m_members.self();
-        answer.isLeaving = m_isStopping;
+        answer.isLeaving = m_stop.isRunning();
         answer.knowledge = m_knowledge.tell(now);
         answer.members = m_members.membersToTell(true, now);
         m_mesh.send({toText(address), m_settings.meshPort}, encode(answer));
@@ -382,7 +351,10 @@
             pending->answer(statusOnly(m_surface.isReadinessCall(pending->request()) ? (isReady() ? 200 : 503) : 404));
             return;
         }
-        const auto addresses = addressesFor(query->dataCentre);
+        auto addresses = directoryAddresses(m_hubs, query->dataCentre, m_settings.gate.port);
+        if (addresses.empty() && isReady()) {
+            addresses.push_back(m_settings.gate);
+        }
         if (addresses.empty()) {
             pending->answer(statusOnly(503));
             return;
@@ -390,32 +362,6 @@
         pending->answer(m_surface.directoryAnswer(addresses, std::min(addressTtl, m_settings.longestAddressTtl)));
     }
 
-    std::vector<endpoint> addressesFor(const std::string &dataCentre) const
-    {
-        std::vector<endpoint> addresses;
-        const auto add = [&](const mesh_member &hub) {
-            if (addresses.size() < mostAddresses) {
-                addresses.push_back({toText(hub.address), m_settings.gate.port});
-            }
-        };
-        for (const auto &hub : m_hubs) {
-            if (hub.dataCentre == dataCentre) {
-                add(hub);
-            }
-        }
-        if (addresses.size() < enoughNearHubs) {
-            for (const auto &hub : m_hubs) {
-                if (hub.dataCentre != dataCentre) {
-                    add(hub);
-                }
-            }
-        }
-        if (addresses.empty() && isReady()) {
-            addresses.push_back(m_settings.gate);
-        }
-        return addresses;
-    }
-
     void handlePeer(const std::shared_ptr<pending_request> &pending)
     {
         pending->answer(m_knowledge.serve(pending->request().target));
@@ -463,12 +409,8 @@
     instant m_rolesAt{};
     instant m_connectionsAt{};
     instant m_toldFarAt{};
-    instant m_stoppedAt{};
-    instant m_endedAt{};
     bool m_isHub = false;
-    bool m_isStopping = false;
-    bool m_isClosed = false;
-    bool m_isAbandoned = false;
+    stop_sequence m_stop;
 };
 
 edge_node::edge_node(boost::asio::io_context &loop, edge_settings settings, edge_surface surface, store_calls store)
--- a/src/flamingofield/mesh/mesh_message.hpp
+++ b/src/flamingofield/mesh/mesh_message.hpp
@@ -4,6 +4,7 @@
 #include "balance/retry_ledger.hpp"
 #include "balance/target_table.hpp"
 #include "core/error.hpp"
+#include "mesh/node_address.hpp"
 #include "route/forwarding_config.hpp"
 
 #include <cstdint>
@@ -13,9 +14,6 @@
 
 namespace flamingofield {
 
-/// IPv4 address in host byte order; nodes of a fleet are known by it.
-using node_address = std::uint32_t;
-
 /// What one node says of another.
 struct mesh_member
 {
--- /dev/null
+++ b/src/flamingofield/mesh/node_address.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace flamingofield {
+
+/// IPv4 address in host byte order; nodes of a fleet are known by it.
+using node_address = std::uint32_t;
+
+/// @return the address, or zero if the text is no IPv4 address
+node_address toNodeAddress(const std::string &text);
+std::vector<node_address> toNodeAddresses(const std::vector<std::string> &texts);
+
+std::string toText(node_address address);
+
+} // namespace flamingofield
--- /dev/null
+++ b/tests/edge/directory_tests.cpp
@@ -0,0 +1,50 @@
+#include "edge/directory.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingofield;
+
+namespace {
+
+constexpr std::uint16_t port = 8381;
+
+class directory_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(directory_tests);
+    CPPUNIT_TEST(tellsTheHubsOfTheCallersDataCentreOnly);
+    CPPUNIT_TEST(addsThoseOfOthersWhileItHasOneOrNone);
+    CPPUNIT_TEST(boundsTheAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+    static mesh_member hub(const std::string &address, const std::string &dataCentre)
+    {
+        mesh_member made;
+        made.address = toNodeAddress(address);
+        made.dataCentre = dataCentre;
+        return made;
+    }
+
+    void tellsTheHubsOfTheCallersDataCentreOnly()
+    {
+        const auto told = directoryAddresses({hub("10.0.0.1", "a"), hub("10.0.1.1", "b"), hub("10.0.0.2", "a")}, "a", port);
+        CPPUNIT_ASSERT((told == std::vector<endpoint>{{"10.0.0.1", port}, {"10.0.0.2", port}}));
+    }
+
+    void addsThoseOfOthersWhileItHasOneOrNone()
+    {
+        const std::vector<mesh_member> hubs{hub("10.0.1.1", "b"), hub("10.0.0.1", "a")};
+        CPPUNIT_ASSERT((directoryAddresses(hubs, "a", port) == std::vector<endpoint>{{"10.0.0.1", port}, {"10.0.1.1", port}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), directoryAddresses(hubs, "c", port).size());
+        CPPUNIT_ASSERT(directoryAddresses({}, "a", port).empty());
+    }
+
+    void boundsTheAnswer()
+    {
+        const std::vector<mesh_member> hubs(200, hub("10.0.0.1", "a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(64), directoryAddresses(hubs, "a", port).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(directory_tests);
+
+} // namespace
--- /dev/null
+++ b/tests/edge/stop_sequence_tests.cpp
@@ -0,0 +1,81 @@
+#include "edge/stop_sequence.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+using namespace flamingofield;
+
+namespace {
+
+const instant start = instant() + seconds(1000);
+constexpr seconds grace{6};
+
+class stop_sequence_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stop_sequence_tests);
+    CPPUNIT_TEST(doesNothingBeforeItBegins);
+    CPPUNIT_TEST(acceptsWhileCallersFindOutAndEndsWithoutRequests);
+    CPPUNIT_TEST(waitsForRequestsInFlight);
+    CPPUNIT_TEST(givesUpRequestsInTimeForTheirLastAnswers);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct taken_step
+    {
+        stop_step step;
+        long long atMs;
+
+        bool operator==(const taken_step &other) const
+        {
+            return step == other.step && atMs == other.atMs;
+        }
+    };
+
+    /// Steps other than none, with their times.
+    /// @param pendingUntil when the last request has its answer by itself
+    static std::vector<taken_step> stepsOf(duration pendingUntil)
+    {
+        stop_sequence stop;
+        stop.begin(start);
+        std::vector<taken_step> steps;
+        bool isAbandoned = false;
+        for (duration since{}; since < grace; since += milliseconds(50)) {
+            const stop_step step = stop.next(grace, since < pendingUntil && !isAbandoned ? 1 : 0, start + since);
+            isAbandoned = isAbandoned || step == stop_step::abandon;
+            if (step != stop_step::none) {
+                steps.push_back({step, toMilliseconds(since)});
+            }
+            if (step == stop_step::end) {
+                break;
+            }
+        }
+        return steps;
+    }
+
+    void doesNothingBeforeItBegins()
+    {
+        stop_sequence stop;
+        CPPUNIT_ASSERT(stop.next(grace, 0, start) == stop_step::none);
+        CPPUNIT_ASSERT(!stop.isRunning());
+    }
+
+    void acceptsWhileCallersFindOutAndEndsWithoutRequests()
+    {
+        CPPUNIT_ASSERT((stepsOf(duration::zero()) == std::vector<taken_step>{{stop_step::refuseNew, 2200}, {stop_step::end, 2350}}));
+    }
+
+    void waitsForRequestsInFlight()
+    {
+        CPPUNIT_ASSERT((stepsOf(seconds(4)) == std::vector<taken_step>{{stop_step::refuseNew, 2200}, {stop_step::end, 4100}}));
+    }
+
+    void givesUpRequestsInTimeForTheirLastAnswers()
+    {
+        CPPUNIT_ASSERT((stepsOf(seconds(60))
+                        == std::vector<taken_step>{{stop_step::refuseNew, 2200}, {stop_step::abandon, 5550}, {stop_step::end, 5700}}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stop_sequence_tests);
+
+} // namespace
