Spare a store that refuses all nodes

Change: the first six in order, who are hubs, keep 0.8 s and tell the others; the rest pause up to 3.2 s. The pause follows the rank of the moment, so a node that moves up because others are gone tries again at once. Tests: both new ones fail with the others' pause at 0.8 s.

--- a/src/flamingofield/edge/shared_knowledge.cpp
+++ b/src/flamingofield/edge/shared_knowledge.cpp
@@ -56,6 +56,8 @@
         return;
     }
     // Without any knowledge a node does not wait for its turn.
+    m_targetReads.setRank(rank);
+    m_configReads.setRank(rank);
     const std::size_t targetsRank = m_hasTargets ? rank : 0;
     const std::size_t configRank = m_config != nullptr ? rank : 0;
     if (m_targetReads.isDue(targetsRank, targetsAge(now), now)) {
@@ -96,7 +98,7 @@
             storeFailed("read targets", read.error());
             return;
         }
-        m_targetReads.succeeded(ended);
+        m_targetReads.succeeded();
         storeAnswered("read targets");
         if (read.value().revision >= m_targets.revision) {
             takeTargets(m_guard.complete(m_targets, std::move(read.value()), ended), "store", asked, ended);
@@ -132,7 +134,7 @@
             storeFailed("read configuration", read.error());
             return;
         }
-        m_configReads.succeeded(ended);
+        m_configReads.succeeded();
         storeAnswered("read configuration");
         m_watchAfter = read.value().second;
         m_configConfirmation.confirmedAt(asked);
@@ -152,7 +154,7 @@
             storeFailed("watch configuration", end.error());
             return;
         }
-        m_configReads.succeeded(ended);
+        m_configReads.succeeded();
         storeAnswered("watch configuration");
         if (end.value().isHistoryLost) {
             m_watchAfter = 0;
--- a/src/flamingofield/edge/shared_knowledge.hpp
+++ b/src/flamingofield/edge/shared_knowledge.hpp
@@ -14,12 +14,12 @@
 
 /// A leaving target must get nothing new two seconds after the store knows; half a second of reading leaves time for a
 /// failed read and the way to all nodes.
-constexpr reading_schedule::pace targetReadPace{milliseconds(500), milliseconds(1000), milliseconds(80), milliseconds(100),
-                                                milliseconds(1500)};
+constexpr reading_schedule::pace targetReadPace{milliseconds(500), milliseconds(1000), milliseconds(80),
+                                                milliseconds(100), milliseconds(800),  milliseconds(3200)};
 /// The watch reports changes at once and confirms by its end that there were none. Nodes that hear of no such end for longer
 /// than a watch and the way of its news read by themselves, all of them before the two seconds of the contract.
-constexpr reading_schedule::pace configReadPace{milliseconds(0), milliseconds(1300), milliseconds(80), milliseconds(100),
-                                                milliseconds(1500)};
+constexpr reading_schedule::pace configReadPace{milliseconds(0),   milliseconds(1300), milliseconds(80),
+                                                milliseconds(100), milliseconds(800),  milliseconds(3200)};
 
 /// When a reader last found a document unchanged at the store, as far as this node knows.
 class confirmation
--- a/src/flamingofield/store/reading_schedule.cpp
+++ b/src/flamingofield/store/reading_schedule.cpp
@@ -11,6 +11,9 @@
 constexpr milliseconds shortestFirstDelay{150};
 /// Callers come some seconds after the first start; this leaves them for failed reads.
 constexpr milliseconds longestFirstDelay{2050};
+/// Ranks beyond the first few wait alike, so that the whole fleet is not late when many readers are cut off. The first few
+/// are hubs; the others wait long enough for a hub's news to reach them.
+constexpr std::size_t staggeredRanks = 6;
 
 } // namespace
 
@@ -28,15 +31,12 @@
 
 bool reading_schedule::isDue(std::size_t rank, duration age, instant now) const
 {
-    if (m_isRunning || now < m_notBefore) {
+    if (!isIdle(now)) {
         return false;
     }
     if (rank == 0) {
         return now - m_startedAt >= m_pace.readerInterval || m_failures > 0;
     }
-    // Ranks beyond the first few wait alike, so that the whole fleet is not late when many readers are cut off. The first few
-    // are hubs; the others wait long enough for a hub's news to reach them.
-    constexpr std::size_t staggeredRanks = 6;
     return age >= m_pace.staleAfter + m_pace.rankDelay * static_cast<int>(std::min(rank, staggeredRanks));
 }
 
@@ -46,20 +46,27 @@
     m_startedAt = now;
 }
 
-void reading_schedule::succeeded(instant now)
+void reading_schedule::succeeded()
 {
     m_isRunning = false;
     m_failures = 0;
-    m_notBefore = now;
 }
 
 void reading_schedule::failed(instant now)
 {
-    constexpr int mostDoublings = 4;
+    constexpr int mostCounted = 16; // Far beyond the longest pause.
     m_isRunning = false;
-    m_failures = std::min(m_failures + 1, mostDoublings);
-    const auto pause = std::min(m_pace.lastRetry, m_pace.firstRetry * (1 << (m_failures - 1)));
-    m_notBefore = now + pause;
+    m_failures = std::min(m_failures + 1, mostCounted);
+    m_failedAt = now;
+}
+
+duration reading_schedule::pause() const
+{
+    if (m_failures == 0) {
+        return duration::zero();
+    }
+    const auto longest = m_rank < staggeredRanks ? m_pace.lastRetry : m_pace.lastRetryOfOthers;
+    return std::min(longest, m_pace.firstRetry * (1 << (m_failures - 1)));
 }
 
 } // namespace flamingofield
--- a/tests/store/reading_schedule_tests.cpp
+++ b/tests/store/reading_schedule_tests.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(leavesReadingToTheReaderWhileItsNewsAreFresh);
     CPPUNIT_TEST(stepsInWithinTheBoundWhenNoNewsCome);
     CPPUNIT_TEST(waitsLongerAfterEachFailure);
+    CPPUNIT_TEST(sparesAStoreThatRefusesAllNodes);
+    CPPUNIT_TEST(retriesSoonOnceItIsAmongTheFirst);
     CPPUNIT_TEST(readsWithFewNodesFirstWhenAllStartAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -31,7 +33,7 @@
         CPPUNIT_ASSERT(schedule.isDue(0, milliseconds(0), start));
         schedule.started(start);
         CPPUNIT_ASSERT(!schedule.isDue(0, seconds(9), start + seconds(9)));
-        schedule.succeeded(start + milliseconds(5));
+        schedule.succeeded();
         CPPUNIT_ASSERT(!schedule.isDue(0, milliseconds(400), start + milliseconds(400)));
         CPPUNIT_ASSERT(schedule.isDue(0, milliseconds(500), start + milliseconds(500)));
     }
@@ -73,6 +75,46 @@
         CPPUNIT_ASSERT(reading_schedule::firstReadAfter(false, 7) <= milliseconds(150));
     }
 
+    /// Calls of one node in a time in which the store refuses all of them.
+    static int callsDuringOutage(std::size_t rank, duration outage)
+    {
+        reading_schedule schedule(pace);
+        schedule.setRank(rank);
+        int calls = 0;
+        for (instant now = start; now < start + outage; now += milliseconds(10)) {
+            if (schedule.isDue(rank, seconds(5), now)) {
+                schedule.started(now);
+                schedule.failed(now + milliseconds(5));
+                ++calls;
+            }
+        }
+        return calls;
+    }
+
+    /// Pattern: the store refuses every node for eight seconds, as when it is overloaded.
+    void sparesAStoreThatRefusesAllNodes()
+    {
+        constexpr seconds outage{8};
+        // The first few notice its return soon and tell the others.
+        CPPUNIT_ASSERT(callsDuringOutage(0, outage) >= 10);
+        // The others call less than once a second: there are thousands of them.
+        CPPUNIT_ASSERT(callsDuringOutage(100, outage) < 8);
+    }
+
+    void retriesSoonOnceItIsAmongTheFirst()
+    {
+        reading_schedule schedule(pace);
+        schedule.setRank(100);
+        for (int i = 0; i < 10; ++i) {
+            schedule.started(start);
+            schedule.failed(start);
+        }
+        const instant later = start + milliseconds(1500);
+        CPPUNIT_ASSERT(!schedule.isDue(100, seconds(5), later));
+        schedule.setRank(1);
+        CPPUNIT_ASSERT(schedule.isDue(1, seconds(5), later));
+    }
+
     void waitsLongerAfterEachFailure()
     {
         reading_schedule schedule(pace);
