--- /dev/null
+++ b/src/flamingofield/http/internal/client_session.cpp
@@ -0,0 +1,295 @@
+#include "http/internal/client_session.hpp"
+
+#include "report/log.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace flamingofield {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Time after which the kernel gives up a client that acknowledges nothing.
+constexpr milliseconds clientUnacknowledged{10000};
+/// Time for a client to read its last answer before the connection is closed.
+constexpr milliseconds lingerTime{1500};
+/// Time for a client to take an answer.
+constexpr milliseconds writeTimeout{20000};
+
+} // namespace
+
+client_session::client_session(std::shared_ptr<listener::shared_state> owner, tcp_socket socket)
+    : m_owner(std::move(owner))
+    , m_socket(std::move(socket))
+{
+    setSocketOptions(m_socket, clientUnacknowledged);
+}
+
+void client_session::start()
+{
+    enter(phase::idle);
+    watch();
+}
+
+void client_session::answer(const http_exchange_answer &answer)
+{
+    if (m_phase != phase::waiting) {
+        return;
+    }
+    --m_owner->pending;
+    m_onLeave = nullptr;
+    write(answer, !m_keepsOpen || m_owner->isDraining);
+}
+
+void client_session::whenClientLeaves(std::function<void()> handler)
+{
+    m_onLeave = std::move(handler);
+}
+
+const http_exchange_request &client_session::request() const
+{
+    return m_request;
+}
+
+bool client_session::isIdle() const
+{
+    return m_phase == phase::idle;
+}
+
+void client_session::tick(instant now)
+{
+    const duration spent = now - m_since;
+    const client_connection_limits limits = m_owner->limits();
+    switch (m_phase) {
+    case phase::idle:
+        if (spent > limits.idleTimeout) {
+            close();
+        }
+        break;
+    case phase::reading:
+        if (spent > (m_hasHead ? limits.bodyTimeout : limits.headerTimeout)) {
+            refuse(408, "the request was not complete in time");
+        }
+        break;
+    case phase::writing:
+        if (spent > writeTimeout) {
+            close();
+        }
+        break;
+    case phase::lingering:
+        if (spent > lingerTime) {
+            close();
+        }
+        break;
+    case phase::waiting:
+    case phase::closed:
+        break;
+    }
+}
+
+void client_session::close()
+{
+    if (m_phase == phase::closed) {
+        return;
+    }
+    const bool hadRequest = m_phase == phase::waiting;
+    m_phase = phase::closed;
+    error_code ignored; // The connection is given up either way.
+    m_socket.close(ignored);
+    if (hadRequest) {
+        --m_owner->pending;
+        if (auto onLeave = std::move(m_onLeave)) {
+            onLeave();
+        }
+    }
+    m_owner->sessions.erase(shared_from_this());
+}
+
+void client_session::enter(phase next)
+{
+    m_phase = next;
+    m_since = std::chrono::steady_clock::now();
+}
+
+void client_session::watch()
+{
+    constexpr std::size_t readSize = 8192;
+    if (m_isReading || m_phase == phase::closed) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(m_buffer.prepare(readSize), [self = shared_from_this()](error_code failure, std::size_t count) {
+        self->m_isReading = false;
+        self->m_buffer.commit(count);
+        self->wasRead(failure);
+    });
+}
+
+void client_session::wasRead(error_code failure)
+{
+    if (m_phase == phase::closed) {
+        return;
+    }
+    if (failure) {
+        close();
+    } else if (m_phase == phase::idle) {
+        readRequest();
+    } else if (m_phase == phase::lingering) {
+        m_buffer.clear();
+        watch();
+    }
+    // Bytes that come while a request waits belong to the next one and stay in the buffer.
+}
+
+void client_session::readRequest()
+{
+    enter(phase::reading);
+    m_hasHead = false;
+    const client_connection_limits limits = m_owner->limits();
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    m_parser->body_limit(limits.bodyBytes);
+    m_isReading = true;
+    http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code failure, std::size_t) {
+        self->m_isReading = false;
+        self->headWasRead(failure);
+    });
+}
+
+void client_session::headWasRead(error_code failure)
+{
+    if (m_phase != phase::reading) {
+        return;
+    }
+    if (failure) {
+        refuseBadRequest(failure);
+        return;
+    }
+    m_hasHead = true;
+    enter(phase::reading);
+    const auto expect = m_parser->get()[http::field::expect];
+    if (boost::beast::iequals(expect, "100-continue")) {
+        static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        asio::async_write(m_socket, asio::buffer(interim), [self = shared_from_this()](error_code failed, std::size_t) {
+            if (!failed) {
+                self->readBody();
+            } else {
+                self->close();
+            }
+        });
+    } else {
+        readBody();
+    }
+}
+
+void client_session::readBody()
+{
+    if (m_phase != phase::reading) {
+        return;
+    }
+    if (m_parser->is_done()) {
+        requestWasRead();
+        return;
+    }
+    m_isReading = true;
+    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code failure, std::size_t) {
+        self->m_isReading = false;
+        if (self->m_phase != phase::reading) {
+            return;
+        }
+        if (failure) {
+            self->refuseBadRequest(failure);
+        } else {
+            self->requestWasRead();
+        }
+    });
+}
+
+void client_session::refuseBadRequest(error_code failure)
+{
+    if (failure == http::error::header_limit) {
+        refuse(431, "the header is too long");
+    } else if (failure == http::error::body_limit) {
+        refuse(413, "the body is too long");
+    } else if (failure.category() == make_error_code(http::error::bad_method).category() && failure != http::error::end_of_stream
+               && failure != http::error::partial_message) {
+        refuse(400, "not a sound HTTP request");
+    } else {
+        close();
+    }
+}
+
+void client_session::refuse(int status, std::string_view reason)
+{
+    error_code gone; // A client that has left has no address any more.
+    const auto peer = m_socket.remote_endpoint(gone);
+    logEvent(log_level::warn, "bad_request",
+             {{"peer", gone ? "" : peer.address().to_string()}, {"status", std::to_string(status)}, {"reason", std::string(reason)}});
+    write(errorAnswer(status, reason), true);
+}
+
+void client_session::requestWasRead()
+{
+    auto message = m_parser->release();
+    m_keepsOpen = message.keep_alive();
+    m_request = http_exchange_request();
+    m_request.method = std::string(message.method_string());
+    m_request.target = std::string(message.target());
+    for (const auto &field : message) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        m_request.fields.add({name.data(), name.size()}, {value.data(), value.size()});
+    }
+    m_request.body = std::move(message.body());
+    enter(phase::waiting);
+    ++m_owner->pending;
+    if (m_buffer.size() == 0) {
+        watch();
+    }
+    m_owner->onRequest(shared_from_this());
+}
+
+void client_session::write(const http_exchange_answer &answer, bool closes)
+{
+    enter(phase::writing);
+    m_bytes = serialize(answer, {m_request.method == "HEAD", closes});
+    asio::async_write(m_socket, asio::buffer(m_bytes), [self = shared_from_this(), closes](error_code failure, std::size_t) {
+        if (self->m_phase != phase::writing) {
+            return;
+        }
+        if (failure) {
+            self->close();
+        } else if (closes) {
+            self->linger();
+        } else {
+            self->next();
+        }
+    });
+}
+
+void client_session::linger()
+{
+    enter(phase::lingering);
+    error_code ignored; // A client that has left already ends the connection by itself.
+    m_socket.shutdown(tcp_socket::shutdown_send, ignored);
+    m_buffer.clear();
+    watch();
+}
+
+void client_session::next()
+{
+    m_bytes.clear();
+    enter(phase::idle);
+    if (m_buffer.size() > 0 && !m_isReading) {
+        readRequest();
+    } else {
+        watch();
+    }
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/http/internal/client_session.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "http/connection_pool.hpp"
+#include "http/listener.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <unordered_set>
+
+namespace flamingofield {
+
+/// What a listener and its connections share.
+struct listener::shared_state
+{
+    shared_state(boost::asio::io_context &context, limits_source source, handler onNew)
+        : loop(context)
+        , acceptor(context)
+        , acceptTimer(context)
+        , limits(std::move(source))
+        , onRequest(std::move(onNew))
+    {
+    }
+
+    boost::asio::io_context &loop;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer acceptTimer;
+    limits_source limits;
+    handler onRequest;
+    std::unordered_set<std::shared_ptr<client_session>> sessions;
+    std::size_t pending = 0;
+    bool isDraining = false;
+    bool isStopped = false;
+};
+
+/// One client connection: reads a request, waits for its answer, writes it, and so on.
+class client_session : public pending_request, public std::enable_shared_from_this<client_session>
+{
+public:
+    client_session(std::shared_ptr<listener::shared_state> owner, tcp_socket socket);
+
+    void start();
+
+    void answer(const http_exchange_answer &answer) override;
+
+    void whenClientLeaves(std::function<void()> handler) override;
+
+    const http_exchange_request &request() const override;
+
+    bool isIdle() const;
+
+    void tick(instant now);
+
+    void close();
+
+private:
+    enum class phase { idle, reading, waiting, writing, lingering, closed };
+
+    void enter(phase next);
+
+    /// Keeps one read pending, which notices both the next request and the client's leaving.
+    void watch();
+
+    void wasRead(boost::system::error_code failure);
+
+    void readRequest();
+
+    void headWasRead(boost::system::error_code failure);
+
+    void readBody();
+
+    void refuseBadRequest(boost::system::error_code failure);
+
+    /// Answers a request that was not read whole, logs it and closes the connection.
+    void refuse(int status, std::string_view reason);
+
+    void requestWasRead();
+
+    void write(const http_exchange_answer &answer, bool closes);
+
+    /// Ends the sending side and reads on for a while, since closing with unread bytes would reset the answer away.
+    void linger();
+
+    void next();
+
+    std::shared_ptr<listener::shared_state> m_owner;
+    tcp_socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    http_exchange_request m_request;
+    std::string m_bytes;
+    std::function<void()> m_onLeave;
+    phase m_phase = phase::idle;
+    instant m_since{};
+    bool m_isReading = false;
+    bool m_hasHead = false;
+    bool m_keepsOpen = true;
+};
+
+} // namespace flamingofield
--- a/src/flamingofield/http/listener.hpp
+++ b/src/flamingofield/http/listener.hpp
@@ -38,6 +38,8 @@
     virtual const http_exchange_request &request() const = 0;
 };
 
+class client_session;
+
 /// Accepts connections and reads whole requests from them, on the event loop. Knows no route and no target.
 class listener
 {
@@ -68,8 +70,8 @@
     std::size_t connections() const;
 
 private:
+    friend class client_session;
     struct shared_state;
-    class session;
 
     void accept();
 
