Leave a target alone whose address another process has taken

An answer 421 rested a target for 120 ms only and was not told, so all nodes sent there again and again: 86 rejected attempts in 6 s, each of which draws on the budget for repeats. Change: outcome replaced: the target rests for two seconds, by which the registry must have heard, at all nodes, and counts as disturbed. Ruled out as the cause of the dip itself: rejected attempts 86 -> 9, but served in 8 to 10 s stayed (118 and 105 of 180); five of ten targets fail or are gone then, and unsafe work that fails is not sent again. The change spares attempts and budget; no gain in served requests is shown. Test: leavesATargetAloneWhoseAddressAnotherHasTaken failed with the rest of 120 ms.

--- a/src/flamingofield/balance/target_row.hpp
+++ b/src/flamingofield/balance/target_row.hpp
@@ -22,7 +22,7 @@
     std::uint64_t key = 0; ///< Hash of id and incarnation; names the target in messages between nodes.
     bool isPresent = true; ///< In the newest snapshot; absent rows stay until their requests have ended.
     instant coldUntil{};
-    instant restUntil{}; ///< After it shed a request, no new one before this time.
+    instant restUntil{}; ///< No new request before this time, as after it shed one.
     instant disturbedAt{}; ///< Last broken, unsound or very slow exchange of this node; failure answers are no disturbance.
     instant disturbedElsewhereAt{}; ///< The same of other nodes, as they tell.
     instant usedAt{}; ///< Last time that any node is known to have sent it a request.
@@ -36,6 +36,7 @@
     std::uint32_t goodAnswers = 0; ///< Cumulative, own, told to other nodes.
     std::uint32_t badAnswers = 0; ///< Cumulative, own, told to other nodes.
     std::uint32_t disturbances = 0; ///< Times that disturbedAt was set; cumulative, own, told to other nodes.
+    std::uint32_t replacements = 0; ///< Times that another process answered at its address; cumulative, own, told to other nodes.
     std::uint32_t suspicions = 0; ///< Overdue and reset requests; cumulative, own, told to other nodes.
     instant toldAt{}; ///< Last change of what is told.
 };
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds loadReportLife{150};
 /// How long a target gets nothing new after it shed; about the time in which one of its slots frees.
 constexpr milliseconds shedRest{120};
+/// How long a target gets nothing new after another process answered at its address; the registry must have heard by then.
+constexpr milliseconds replacedRest{2000};
 /// Changes are told for this long, so that lost datagrams are made up for.
 constexpr milliseconds tellTime{1500};
 /// Each finished request lowers the weight of earlier ones in the mean work of a slot by this factor.
@@ -184,6 +186,11 @@
     case target_outcome::shed:
         row.restUntil = now + shedRest;
         break;
+    case target_outcome::replaced:
+        row.restUntil = now + replacedRest;
+        ++row.replacements;
+        disturbed(row, now);
+        break;
     case target_outcome::broken:
         row.path.observe(brokenConnection, now);
         disturbed(row, now);
@@ -240,6 +247,9 @@
         if (row.disturbances > before.disturbances) {
             target->disturbedElsewhereAt = now;
         }
+        if (row.replacements > before.replacements) {
+            target->restUntil = std::max(target->restUntil, now + replacedRest);
+        }
         constexpr std::uint32_t mostAtOnce = 8;
         const auto repeat = [&](std::uint32_t newer, std::uint32_t older, evidence_weight weight) {
             const std::uint32_t times = newer > older ? std::min(newer - older, mostAtOnce) : 0;
@@ -263,8 +273,8 @@
     for (const auto &[key, row] : m_rows) {
         const bool isRecent = row.toldAt != instant{} && now - row.toldAt < tellTime;
         if (row.own > 0 || isRecent) {
-            told.push_back(
-                {key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.suspicions, row.disturbances, row.sent});
+            told.push_back({key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.suspicions, row.disturbances,
+                            row.sent, row.replacements});
         }
     }
     return told;
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -17,6 +17,7 @@
     served, ///< A whole success.
     failed, ///< A whole answer with a failure that counts as run.
     shed, ///< The target said that it did not run the request.
+    replaced, ///< Another process has the target's address; it did not run the request.
     broken, ///< The connection failed or went silent.
     reset, ///< The target ended the connection while it had the request.
     cancelled, ///< The node broke off; says nothing about the target.
@@ -32,6 +33,7 @@
     std::uint32_t suspicions = 0;
     std::uint32_t disturbances = 0;
     std::uint32_t sent = 0;
+    std::uint32_t replacements = 0;
 };
 
 /// Mean work that occupies a slot. Long work fills more of the time than its share of the requests, so each request counts
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -89,9 +89,9 @@
 
 void pack(packer &out, const told_target &target)
 {
-    out.pack_array(7);
+    out.pack_array(8);
     out.pack(target.key).pack(target.inFlight).pack(target.goodAnswers).pack(target.badAnswers).pack(target.suspicions);
-    out.pack(target.disturbances).pack(target.sent);
+    out.pack(target.disturbances).pack(target.sent).pack(target.replacements);
 }
 
 told_target unpackTold(const msgpack::object &object)
@@ -105,6 +105,7 @@
     target.suspicions = in.as<std::uint32_t>();
     target.disturbances = in.as<std::uint32_t>();
     target.sent = in.as<std::uint32_t>();
+    target.replacements = in.as<std::uint32_t>();
     return target;
 }
 
--- a/src/flamingofield/relay/relay_outcome.cpp
+++ b/src/flamingofield/relay/relay_outcome.cpp
@@ -11,6 +11,8 @@
 
 /// Part of the caller's time that it may spend waiting before it comes back; callers follow no longer delays.
 constexpr double longestReturnShare = 1.0 / 3.0;
+/// RFC 9110: the request was meant for another server than the one that got it, and was not run.
+constexpr int misdirectedRequest = 421;
 /// Targets stop at their deadline a little before the node's own clock reaches it.
 constexpr milliseconds deadlineMargin{60};
 /// Time left that makes another attempt worthwhile, as a part of the usual work.
@@ -120,12 +122,13 @@
 {
     http_exchange_answer &answer = result.answer;
     const load_report load = parseLoad(answer.fields.value(m_names.serverLoad), now);
-    const bool isNotExecuted = answer.fields.has(m_names.notExecuted) || answer.status == 421;
+    const bool isReplaced = answer.status == misdirectedRequest;
+    const bool isNotExecuted = answer.fields.has(m_names.notExecuted) || isReplaced;
     const bool isSound
         = answer.fields.has(m_names.seal) && !answer.fields.value(m_names.requestId).empty() && !answer.fields.has("Content-Encoding");
     target_outcome outcome = target_outcome::served;
     if (isNotExecuted) {
-        outcome = target_outcome::shed;
+        outcome = isReplaced ? target_outcome::replaced : target_outcome::shed;
     } else if (isSuccess(answer.status) && !isSound) {
         outcome = target_outcome::broken;
     } else if (answer.status >= 500) {
@@ -157,6 +160,9 @@
     case target_outcome::shed:
         afterFailure(row, false, {}, "target refused", now);
         break;
+    case target_outcome::replaced:
+        afterFailure(row, false, {}, "the target's address belongs to another", now);
+        break;
     case target_outcome::broken:
     case target_outcome::reset:
         afterFailure(row, true, errorAnswer(502, "the target's answer was not sound"), "unsound answer", now);
--- a/tests/balance/target_table_tests.cpp
+++ b/tests/balance/target_table_tests.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(learnsFromPeersWhichTargetsFail);
     CPPUNIT_TEST(learnsFromPeersWhichTargetsResetNewConnections);
     CPPUNIT_TEST(triesUnusedTargetsLessOftenWhenEachHasAFirstTrier);
+    CPPUNIT_TEST(leavesATargetAloneWhoseAddressAnotherHasTaken);
     CPPUNIT_TEST(triesOnceWhatBecomesDueForAllNodesAtOnce);
     CPPUNIT_TEST(takesARequestThatHangsElsewhereForNoFurtherUse);
     CPPUNIT_TEST(takesOverTheBeliefsOfABusierNode);
@@ -365,6 +366,39 @@
         CPPUNIT_ASSERT(trialsOf(true) * 10 < withoutFirstTriers * 9);
     }
 
+    /// Pattern: a target ends without a word, another process takes its address and rejects what was meant for it, and the
+    /// registry lists it for seconds more.
+    void leavesATargetAloneWhoseAddressAnotherHasTaken()
+    {
+        constexpr std::size_t nodes = 4;
+        std::vector<target_table> tables;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            tables.emplace_back("here", i + 1);
+            tables.back().apply(snapshot(4), start);
+            tables.back().setTrials({nodes, i});
+            tables.back().told((i + 1) % nodes, {}, start);
+        }
+        int rejected = 0;
+        int step = 0;
+        for (instant now = start; now < start + seconds(6); now += milliseconds(10), ++step) {
+            const std::size_t node = static_cast<std::size_t>(step) % nodes;
+            target_table &table = tables[node];
+            const auto choice = table.choose(query(), now);
+            CPPUNIT_ASSERT(choice.has_value());
+            const bool isGone = choice->row->entry.id == "t0";
+            rejected += isGone ? 1 : 0;
+            table.started(*choice->row);
+            table.finished(*choice->row, isGone ? target_outcome::replaced : target_outcome::served, milliseconds(2), work, now);
+            for (std::size_t to = 0; to < nodes; ++to) {
+                if (to != node) {
+                    tables[to].told(node, table.tell(now), now);
+                }
+            }
+        }
+        CPPUNIT_ASSERT(rejected >= 1);
+        CPPUNIT_ASSERT(rejected <= 4); // One every two seconds, in which the registry must have heard, and the first.
+    }
+
     /// Pattern: many requests begin to fail, and all hubs find that the same targets, left out so far, must be used.
     void triesOnceWhatBecomesDueForAllNodesAtOnce()
     {
