--- a/src/flamingofield/balance/outcome_window.cpp
+++ b/src/flamingofield/balance/outcome_window.cpp
@@ -13,12 +13,8 @@
 
 void outcome_window::count(std::string_view service, bool wasServed, instant now)
 {
-    const std::int64_t number = now.time_since_epoch() / bucketWidth;
-    bucket &entry = rowOf(service).own[static_cast<std::size_t>(number) % buckets];
-    if (entry.number != number) {
-        entry = {number, {}};
-    }
-    ++(wasServed ? entry.outcomes.served : entry.outcomes.unserved);
+    recent_outcomes &outcomes = rowOf(service).own.at(bucketWidth, now);
+    ++(wasServed ? outcomes.served : outcomes.unserved);
 }
 
 void outcome_window::becameOverdue(std::string_view service)
@@ -38,16 +34,12 @@
 
 recent_outcomes outcome_window::own(std::string_view service, instant now) const
 {
-    recent_outcomes total;
     const auto found = m_rows.find(service);
-    if (found != m_rows.end()) {
-        total.unserved = found->second.overdue;
-        const std::int64_t oldest = now.time_since_epoch() / bucketWidth - static_cast<std::int64_t>(buckets);
-        for (const auto &entry : found->second.own) {
-            total.served += entry.number > oldest ? entry.outcomes.served : 0;
-            total.unserved += entry.number > oldest ? entry.outcomes.unserved : 0;
-        }
+    if (found == m_rows.end()) {
+        return {};
     }
+    recent_outcomes total = found->second.own.sum(bucketWidth, now);
+    total.unserved += found->second.overdue;
     return total;
 }
 
@@ -58,8 +50,7 @@
     if (found != m_rows.end()) {
         for (const auto &[peer, counts] : found->second.peers) {
             if (now - counts.at < toldLease) {
-                total.served += counts.outcomes.served;
-                total.unserved += counts.outcomes.unserved;
+                total += counts.outcomes;
             }
         }
     }
--- a/src/flamingofield/balance/outcome_window.hpp
+++ b/src/flamingofield/balance/outcome_window.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "core/time.hpp"
+#include "balance/count_window.hpp"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -15,6 +14,13 @@
 {
     std::uint32_t served = 0;
     std::uint32_t unserved = 0; ///< Failed or refused.
+
+    recent_outcomes &operator+=(const recent_outcomes &other)
+    {
+        served += other.served;
+        unserved += other.unserved;
+        return *this;
+    }
 };
 
 /// Ends of requests by service over the last seconds, of this node and as its peers tell. No network, no clock.
@@ -45,11 +51,6 @@
     /// Counts of a peer that has been silent for this long are left out.
     static constexpr milliseconds toldLease{1300};
 
-    struct bucket
-    {
-        std::int64_t number = -1;
-        recent_outcomes outcomes;
-    };
     struct told_outcomes
     {
         instant at{};
@@ -57,7 +58,7 @@
     };
     struct service_row
     {
-        std::array<bucket, buckets> own;
+        count_window<recent_outcomes, buckets> own;
         std::uint32_t overdue = 0; ///< In flight.
         std::map<std::uint64_t, told_outcomes> peers;
     };
--- a/src/flamingofield/balance/retry_ledger.cpp
+++ b/src/flamingofield/balance/retry_ledger.cpp
@@ -25,65 +25,40 @@
     return isHub ? std::max<std::size_t>(1, hubs) : std::max(hubs, liveNodes) + 1;
 }
 
-std::int64_t retry_ledger::numberAt(instant now) const
+retry_ledger::service_row &retry_ledger::rowOf(std::string_view service)
 {
-    const auto width = std::chrono::duration_cast<duration>(m_terms.window) / buckets;
-    return now.time_since_epoch() / width;
+    const auto found = m_rows.find(service);
+    return found != m_rows.end() ? found->second : m_rows.emplace(std::string(service), service_row()).first->second;
 }
 
-retry_ledger::bucket &retry_ledger::bucketAt(std::string_view service, instant now)
+duration retry_ledger::bucketWidth() const
 {
-    auto found = m_rows.find(service);
-    if (found == m_rows.end()) {
-        found = m_rows.emplace(std::string(service), service_row()).first;
-    }
-    const std::int64_t number = numberAt(now);
-    bucket &entry = found->second.own[static_cast<std::size_t>(number) % buckets];
-    if (entry.number != number) {
-        entry = {number, {}};
-    }
-    return entry;
+    return std::chrono::duration_cast<duration>(m_terms.window) / buckets;
 }
 
 void retry_ledger::countRequest(std::string_view service, instant now)
 {
-    ++bucketAt(service, now).counts.requests;
+    ++rowOf(service).own.at(bucketWidth(), now).requests;
 }
 
 void retry_ledger::countRepeat(std::string_view service, instant now)
 {
-    ++bucketAt(service, now).counts.repeats;
-}
-
-retry_counts retry_ledger::sum(const service_row &row, instant now) const
-{
-    retry_counts total;
-    const std::int64_t number = numberAt(now);
-    for (const auto &entry : row.own) {
-        if (entry.number > number - static_cast<std::int64_t>(buckets)) {
-            total.requests += entry.counts.requests;
-            total.repeats += entry.counts.repeats;
-        }
-    }
-    return total;
+    ++rowOf(service).own.at(bucketWidth(), now).repeats;
 }
 
 void retry_ledger::told(std::uint64_t peer, std::string_view service, retry_counts counts, instant now)
 {
-    auto found = m_rows.find(service);
-    if (found == m_rows.end()) {
-        found = m_rows.emplace(std::string(service), service_row()).first;
-    }
-    found->second.peers[peer] = {now, counts};
+    rowOf(service).peers[peer] = {now, counts};
 }
 
 bool retry_ledger::mayRepeat(std::string_view service, std::size_t nodes, instant now) const
 {
+    const bool isSettling = m_restartedAt && now < *m_restartedAt + settleTime;
     const auto found = m_rows.find(service);
-    if (found == m_rows.end()) {
+    if (isSettling || found == m_rows.end()) {
         return false;
     }
-    const retry_counts mine = sum(found->second, now);
+    const retry_counts mine = found->second.own.sum(bucketWidth(), now);
     double requests = mine.requests;
     double repeats = mine.repeats;
     std::size_t heard = 1;
@@ -98,9 +73,6 @@
     // A node that hears nobody must not spend what the others may be spending.
     const double equalShare = 1.0 / static_cast<double>(std::max<std::size_t>(1, nodes));
     const double ownShare = heard >= nodes && requests > 0.0 ? mine.requests / requests : equalShare;
-    if (m_restartedAt && now < *m_restartedAt + settleTime) {
-        return false;
-    }
     const double budget = spentShare * whole;
     const bool isForgetful = m_restartedAt && now < *m_restartedAt + m_terms.window;
     const double part = isForgetful ? restartShare * ownShare * whole : std::max(1.0, ownPart * ownShare * budget);
@@ -110,14 +82,14 @@
 retry_counts retry_ledger::own(std::string_view service, instant now) const
 {
     const auto found = m_rows.find(service);
-    return found == m_rows.end() ? retry_counts() : sum(found->second, now);
+    return found == m_rows.end() ? retry_counts() : found->second.own.sum(bucketWidth(), now);
 }
 
 std::map<std::string, retry_counts> retry_ledger::tell(instant now) const
 {
     std::map<std::string, retry_counts> counts;
     for (const auto &[service, row] : m_rows) {
-        const retry_counts total = sum(row, now);
+        const retry_counts total = row.own.sum(bucketWidth(), now);
         if (total.requests + total.repeats > 0) {
             counts.emplace(service, total);
         }
--- a/src/flamingofield/balance/retry_ledger.hpp
+++ b/src/flamingofield/balance/retry_ledger.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "core/time.hpp"
+#include "balance/count_window.hpp"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -24,6 +23,13 @@
 {
     std::uint32_t requests = 0;
     std::uint32_t repeats = 0;
+
+    retry_counts &operator+=(const retry_counts &other)
+    {
+        requests += other.requests;
+        repeats += other.repeats;
+        return *this;
+    }
 };
 
 /// Nodes that may spend the budget as one node sees it. Hubs hear each other's counts; any other node hears one hub alone and
@@ -71,20 +77,14 @@
     static constexpr double spentShare = 0.7;
     static constexpr std::size_t buckets = 10;
 
-    struct bucket
-    {
-        std::int64_t number = -1;
-        retry_counts counts;
-    };
     struct service_row
     {
-        std::array<bucket, buckets> own;
+        count_window<retry_counts, buckets> own;
         std::map<std::uint64_t, std::pair<instant, retry_counts>> peers;
     };
 
-    bucket &bucketAt(std::string_view service, instant now);
-    std::int64_t numberAt(instant now) const;
-    retry_counts sum(const service_row &row, instant now) const;
+    service_row &rowOf(std::string_view service);
+    duration bucketWidth() const;
 
     retry_terms m_terms;
     std::optional<instant> m_restartedAt; ///< Empty if nothing was spent before the start.
--- a/src/flamingofield/balance/target_row.hpp
+++ b/src/flamingofield/balance/target_row.hpp
@@ -15,6 +15,17 @@
     instant at{};
 };
 
+/// What a node has seen of a target since it knows it; cumulative, so that lost messages to other nodes do no harm.
+struct target_counts
+{
+    std::uint32_t goodAnswers = 0;
+    std::uint32_t badAnswers = 0;
+    std::uint32_t suspicions = 0; ///< Overdue and reset requests.
+    std::uint32_t disturbances = 0; ///< Times that disturbedAt was set.
+    std::uint32_t sent = 0; ///< Requests.
+    std::uint32_t replacements = 0; ///< Times that another process answered at its address.
+};
+
 /// One backend server with all that this node believes of it.
 struct target_row
 {
@@ -32,12 +43,7 @@
     health_filter health; ///< From answers, own and told.
     health_filter path; ///< From connections of this node alone.
     slowness_filter slowness;
-    std::uint32_t sent = 0; ///< Requests; cumulative, own, told to other nodes.
-    std::uint32_t goodAnswers = 0; ///< Cumulative, own, told to other nodes.
-    std::uint32_t badAnswers = 0; ///< Cumulative, own, told to other nodes.
-    std::uint32_t disturbances = 0; ///< Times that disturbedAt was set; cumulative, own, told to other nodes.
-    std::uint32_t replacements = 0; ///< Times that another process answered at its address; cumulative, own, told to other nodes.
-    std::uint32_t suspicions = 0; ///< Overdue and reset requests; cumulative, own, told to other nodes.
+    target_counts counts; ///< Of this node.
     instant toldAt{}; ///< Last change of what is told.
 };
 
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -37,7 +37,7 @@
 void disturbed(target_row &row, instant now)
 {
     row.disturbedAt = now;
-    ++row.disturbances;
+    ++row.counts.disturbances;
 }
 
 std::uint64_t keyOf(const target_entry &entry)
@@ -160,7 +160,7 @@
 void target_table::started(target_row &row)
 {
     ++row.own;
-    ++row.sent;
+    ++row.counts.sent;
 }
 
 void target_table::finished(target_row &row, target_outcome outcome, duration taken, duration usualWork, instant now)
@@ -175,12 +175,12 @@
         if (row.slowness.ratio(now) > disturbedSlowness) {
             disturbed(row, now);
         }
-        ++row.goodAnswers;
+        ++row.counts.goodAnswers;
         break;
     case target_outcome::failed:
         row.health.observe(failedAnswer, now);
         row.path.observe(goodAnswer, now);
-        ++row.badAnswers;
+        ++row.counts.badAnswers;
         m_hasUrgentNews = true;
         break;
     case target_outcome::shed:
@@ -188,7 +188,7 @@
         break;
     case target_outcome::replaced:
         row.restUntil = now + replacedRest;
-        ++row.replacements;
+        ++row.counts.replacements;
         disturbed(row, now);
         break;
     case target_outcome::broken:
@@ -212,7 +212,7 @@
 void target_table::suspect(target_row &row, instant now)
 {
     row.health.observe(suspiciousEnd, now);
-    ++row.suspicions;
+    ++row.counts.suspicions;
     row.toldAt = now;
 }
 
@@ -231,23 +231,20 @@
     }
     for (const auto &row : rows) {
         auto [position, isNew] = counts.rows.try_emplace(row.key, row);
-        told_target before = position->second;
-        if (isNew) {
-            before = {};
-        }
+        const target_counts before = isNew ? target_counts() : position->second.counts;
         position->second = row;
         target_row *target = find(row.key);
         // A peer's first message sums up its whole past, which is no news.
         if (target == nullptr || isFirst) {
             continue;
         }
-        if (row.sent != before.sent) {
+        if (row.counts.sent != before.sent) {
             target->usedAt = now;
         }
-        if (row.disturbances > before.disturbances) {
+        if (row.counts.disturbances > before.disturbances) {
             target->disturbedElsewhereAt = now;
         }
-        if (row.replacements > before.replacements) {
+        if (row.counts.replacements > before.replacements) {
             target->restUntil = std::max(target->restUntil, now + replacedRest);
         }
         constexpr std::uint32_t mostAtOnce = 8;
@@ -257,9 +254,9 @@
                 target->health.observe(weight, now);
             }
         };
-        repeat(row.badAnswers, before.badAnswers, failedAnswer);
-        repeat(row.goodAnswers, before.goodAnswers, goodAnswer);
-        repeat(row.suspicions, before.suspicions, toldSuspicion);
+        repeat(row.counts.badAnswers, before.badAnswers, failedAnswer);
+        repeat(row.counts.goodAnswers, before.goodAnswers, goodAnswer);
+        repeat(row.counts.suspicions, before.suspicions, toldSuspicion);
     }
     for (auto position = m_peers.begin(); position != m_peers.end();) {
         constexpr seconds forgetPeer{30};
@@ -273,8 +270,7 @@
     for (const auto &[key, row] : m_rows) {
         const bool isRecent = row.toldAt != instant{} && now - row.toldAt < tellTime;
         if (row.own > 0 || isRecent) {
-            told.push_back({key, static_cast<std::uint16_t>(row.own), row.goodAnswers, row.badAnswers, row.suspicions, row.disturbances,
-                            row.sent, row.replacements});
+            told.push_back({key, static_cast<std::uint16_t>(row.own), row.counts});
         }
     }
     return told;
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -28,12 +28,7 @@
 {
     std::uint64_t key = 0;
     std::uint16_t inFlight = 0;
-    std::uint32_t goodAnswers = 0;
-    std::uint32_t badAnswers = 0;
-    std::uint32_t suspicions = 0;
-    std::uint32_t disturbances = 0;
-    std::uint32_t sent = 0;
-    std::uint32_t replacements = 0;
+    target_counts counts;
 };
 
 /// Mean work that occupies a slot. Long work fills more of the time than its share of the requests, so each request counts
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -174,8 +174,8 @@
         }
         m_rank = m_members.readerRank(now);
         m_hubs = m_members.readyHubs(now);
-        const bool isHub
-            = std::any_of(m_hubs.begin(), m_hubs.end(), [&](const mesh_member &hub) { return hub.address == m_members.self().address; });
+        const trial_duty trials = trialDuty();
+        const bool isHub = trials.triers > 0;
         if (isHub != m_isHub) {
             m_isHub = isHub;
             logEvent(
@@ -183,7 +183,7 @@
                 {{"rank", std::to_string(m_rank)}, {"live", std::to_string(m_members.live(now))}, {"hubs", std::to_string(m_hubs.size())}});
         }
         const std::size_t nodes = std::max<std::size_t>(1, m_hubs.size() + (isHub ? 0 : 1));
-        m_targets.setTrials(trialDuty());
+        m_targets.setTrials(trials);
         m_relay.setShare({1.0 / static_cast<double>(nodes), budgetSharers(isHub, m_hubs.size(), m_members.live(now))});
     }
 
@@ -272,8 +272,7 @@
             m_retries.told(message.sender.address, row.service, row.retries, now);
             m_outcomes.told(message.sender.address, row.service, row.outcomes, now);
         }
-        const bool hasSameTargets = message.knowledge.targetsDigest == m_knowledge.tell(now).targetsDigest;
-        if (!m_isHub && hasSameTargets && !message.beliefs.empty()) {
+        if (!m_isHub && !message.beliefs.empty() && message.knowledge.targetsDigest == m_knowledge.tell(now).targetsDigest) {
             m_targets.adoptBeliefs(message.beliefs, now);
         }
         if (message.wantsReply) {
--- a/src/flamingofield/mesh/member_table.cpp
+++ b/src/flamingofield/mesh/member_table.cpp
@@ -134,12 +134,6 @@
     return ready;
 }
 
-bool member_table::isHub(instant now) const
-{
-    const auto addresses = hubs(m_self.dataCentre, now);
-    return std::find(addresses.begin(), addresses.end(), m_self.address) != addresses.end();
-}
-
 std::size_t member_table::readerRank(instant now) const
 {
     const std::set<node_address> hubSet = allHubs(now);
@@ -196,10 +190,9 @@
             continue;
         }
         live += isLive(row, now) ? 1 : 0;
-        const bool isHub = hubSet.count(row.member.address) != 0;
-        const bool isNear = row.member.dataCentre == m_self.dataCentre;
-        row.isExpected = row.isExpected || (isLive(row, now) && ((selfIsHub && isHub) || (isNear && (selfIsHub || isHub))));
-        const duration interval = intervalTo(row, isHub, selfIsHub, isBusy, now);
+        const duration interval = intervalTo(row, hubSet.count(row.member.address) != 0, selfIsHub, isBusy, now);
+        // Live members speak to those that speak to them.
+        row.isExpected = row.isExpected || (isLive(row, now) && interval != duration::max());
         if (interval != duration::max() && now - row.sentAt >= interval) {
             row.sentAt = now;
             due.push_back(row.member.address);
--- a/src/flamingofield/mesh/member_table.hpp
+++ b/src/flamingofield/mesh/member_table.hpp
@@ -46,8 +46,6 @@
     /// Live hubs of all data centres that are ready for callers.
     std::vector<mesh_member> readyHubs(instant now) const;
 
-    bool isHub(instant now) const;
-
     /// Position of this node among those that read the store for the others; the one at 0 does. Hubs of all data centres come
     /// first, in the same order everywhere, then the other nodes of the own data centre.
     std::size_t readerRank(instant now) const;
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -90,8 +90,12 @@
 void pack(packer &out, const told_target &target)
 {
     out.pack_array(8);
-    out.pack(target.key).pack(target.inFlight).pack(target.goodAnswers).pack(target.badAnswers).pack(target.suspicions);
-    out.pack(target.disturbances).pack(target.sent).pack(target.replacements);
+    out.pack(target.key)
+        .pack(target.inFlight)
+        .pack(target.counts.goodAnswers)
+        .pack(target.counts.badAnswers)
+        .pack(target.counts.suspicions);
+    out.pack(target.counts.disturbances).pack(target.counts.sent).pack(target.counts.replacements);
 }
 
 told_target unpackTold(const msgpack::object &object)
@@ -100,12 +104,12 @@
     told_target target;
     target.key = in.as<std::uint64_t>();
     target.inFlight = in.as<std::uint16_t>();
-    target.goodAnswers = in.as<std::uint32_t>();
-    target.badAnswers = in.as<std::uint32_t>();
-    target.suspicions = in.as<std::uint32_t>();
-    target.disturbances = in.as<std::uint32_t>();
-    target.sent = in.as<std::uint32_t>();
-    target.replacements = in.as<std::uint32_t>();
+    target.counts.goodAnswers = in.as<std::uint32_t>();
+    target.counts.badAnswers = in.as<std::uint32_t>();
+    target.counts.suspicions = in.as<std::uint32_t>();
+    target.counts.disturbances = in.as<std::uint32_t>();
+    target.counts.sent = in.as<std::uint32_t>();
+    target.counts.replacements = in.as<std::uint32_t>();
     return target;
 }
 
--- a/tests/balance/target_table_tests.cpp
+++ b/tests/balance/target_table_tests.cpp
@@ -76,7 +76,7 @@
         target_table table("here", 1);
         table.apply(snapshot(2), start);
         table.told(7, {}, start);
-        table.told(7, {{keyOf(table, "t0"), 3, 0, 0, 0}, {keyOf(table, "t1"), 4, 0, 0, 0}}, start);
+        table.told(7, {{keyOf(table, "t0"), 3, {0, 0, 0}}, {keyOf(table, "t1"), 4, {0, 0, 0}}}, start);
         const auto choice = table.choose(query(), start);
         CPPUNIT_ASSERT(choice.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("t0"), choice->row->entry.id);
@@ -293,9 +293,9 @@
         target_table table("here", 1);
         table.apply(snapshot(2), start);
         const std::uint64_t key = keyOf(table, "t0");
-        table.told(7, {{key, 0, 10, 100, 0}}, start);
+        table.told(7, {{key, 0, {10, 100, 0}}}, start);
         CPPUNIT_ASSERT(table.find(key)->health.sickness(start) < 0.2); // The first message sums up the past.
-        table.told(7, {{key, 0, 10, 102, 0}}, start);
+        table.told(7, {{key, 0, {10, 102, 0}}}, start);
         CPPUNIT_ASSERT(table.find(key)->health.sickness(start) > 0.8);
     }
 
--- a/tests/edge/shared_knowledge_tests.cpp
+++ b/tests/edge/shared_knowledge_tests.cpp
@@ -34,6 +34,16 @@
     std::vector<std::uint64_t> watchedAfter;
 };
 
+/// What a node knows of a fake store, without a use for it.
+/// @param fetch answers calls to peers; by default they never end
+shared_knowledge knowledgeOf(
+    fake_store &store, instant start, const shared_knowledge::peer_fetch &fetch = [](auto, const auto &, auto) {})
+{
+    constexpr milliseconds heartbeat{1500};
+    return shared_knowledge(
+        store.calls(), fetch, [](auto) {}, [](const auto &) {}, heartbeat, start, start);
+}
+
 class shared_knowledge_tests : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(shared_knowledge_tests);
@@ -50,15 +60,20 @@
         }
     }
 
+    /// Answers the first read of the configuration.
+    static void readFirst(shared_knowledge &knowledge, fake_store &store, instant start)
+    {
+        tickUntil(knowledge, start, milliseconds(300));
+        store.reads.at(0)(std::make_pair(store_document{10, "text"}, std::uint64_t(30)));
+    }
+
     /// A watch may hear nothing though the document changed.
     void watchesOnFromWhatItHoldsAfterAWatchThatHeardNothing()
     {
         fake_store store;
         const instant start = std::chrono::steady_clock::now();
-        shared_knowledge knowledge(
-            store.calls(), [](auto, const auto &, auto) {}, [](auto) {}, [](const auto &) {}, milliseconds(1500), start, start);
-        tickUntil(knowledge, start, milliseconds(300));
-        store.reads.at(0)(std::make_pair(store_document{10, "text"}, std::uint64_t(30)));
+        shared_knowledge knowledge = knowledgeOf(store, start);
+        readFirst(knowledge, store, start);
         tickUntil(knowledge, start, milliseconds(300));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(30), store.watchedAfter.at(0));
         store.watches.at(0)(store_watch_end{});
@@ -76,10 +91,8 @@
     {
         fake_store store;
         const instant start = std::chrono::steady_clock::now();
-        shared_knowledge knowledge(
-            store.calls(), [](auto, const auto &, auto) {}, [](auto) {}, [](const auto &) {}, milliseconds(1500), start, start);
-        tickUntil(knowledge, start, milliseconds(300));
-        store.reads.at(0)(std::make_pair(store_document{10, "text"}, std::uint64_t(30)));
+        shared_knowledge knowledge = knowledgeOf(store, start);
+        readFirst(knowledge, store, start);
         tickUntil(knowledge, start, milliseconds(300));
         store_watch_end lost;
         lost.isHistoryLost = true;
@@ -93,15 +106,12 @@
     {
         fake_store store;
         const instant start = std::chrono::steady_clock::now();
-        shared_knowledge teacher(
-            store.calls(), [](auto, const auto &, auto) {}, [](auto) {}, [](const auto &) {}, milliseconds(1500), start, start);
-        tickUntil(teacher, start, milliseconds(300));
-        store.reads.at(0)(std::make_pair(store_document{10, "text"}, std::uint64_t(30)));
+        shared_knowledge teacher = knowledgeOf(store, start);
+        readFirst(teacher, store, start);
         store.targetReads.at(0)(target_snapshot{30, {}});
         const instant later = start + seconds(5);
-        shared_knowledge pupil(
-            store.calls(), [&](auto, const std::string &path, auto onEnd) { onEnd(result<http_exchange_answer>(teacher.serve(path))); },
-            [](auto) {}, [](const auto &) {}, milliseconds(1500), later, later);
+        shared_knowledge pupil = knowledgeOf(
+            store, later, [&](auto, const std::string &path, auto onEnd) { onEnd(result<http_exchange_answer>(teacher.serve(path))); });
         for (int i = 0; i < 3; ++i) {
             pupil.heard(1, teacher.tell(later), later);
         }
--- a/tests/mesh/member_table_tests.cpp
+++ b/tests/mesh/member_table_tests.cpp
@@ -208,7 +208,7 @@
         mesh_message message;
         message.sender = {7, "a", 3, true, 500, 0};
         message.members = {{8, "b", 4, false, 1000, 100}};
-        message.targets = {{99, 2, 3, 4, 5}};
+        message.targets = {{99, 2, {3, 4, 5}}};
         message.services = {{"s", {10, 2}, {8, 1}}};
         const std::string bytes = encode(message);
         const auto decoded = decodeMeshMessage(bytes);
--- a/tests/soak/soak_injector.cpp
+++ b/tests/soak/soak_injector.cpp
@@ -203,31 +203,28 @@
     return faults;
 }
 
-void injector::disturbGateLink()
+void injector::disturbLink(subject_kind kind, const char *name, std::vector<std::unique_ptr<standins::fault_proxy>> &links)
 {
-    const subject on{subject_kind::gate_link, anyOf(m_fleet.nodes.size())};
+    const subject on{kind, anyOf(links.size())};
     if (isFree(on)) {
-        m_fleet.gateLinks[on.index]->setFaults(anyLinkFault());
-        begin(on, "gate link", between(leastLengthMs, mostLengthMs), [this, on] { m_fleet.gateLinks[on.index]->setFaults({}); });
+        links[on.index]->setFaults(anyLinkFault());
+        begin(on, name, between(leastLengthMs, mostLengthMs), [&links, on] { links[on.index]->setFaults({}); });
     }
 }
 
+void injector::disturbGateLink()
+{
+    disturbLink(subject_kind::gate_link, "gate link", m_fleet.gateLinks);
+}
+
 void injector::disturbStoreLink()
 {
-    const subject on{subject_kind::store_link, anyOf(m_fleet.nodes.size())};
-    if (isFree(on)) {
-        m_fleet.storeLinks[on.index]->setFaults(anyLinkFault());
-        begin(on, "store link", between(leastLengthMs, mostLengthMs), [this, on] { m_fleet.storeLinks[on.index]->setFaults({}); });
-    }
+    disturbLink(subject_kind::store_link, "store link", m_fleet.storeLinks);
 }
 
 void injector::disturbServerLink()
 {
-    const subject on{subject_kind::server, anyOf(m_fleet.servers.size())};
-    if (isFree(on)) {
-        m_fleet.serverLinks[on.index]->setFaults(anyLinkFault());
-        begin(on, "server link", between(leastLengthMs, mostLengthMs), [this, on] { m_fleet.serverLinks[on.index]->setFaults({}); });
-    }
+    disturbLink(subject_kind::server, "server link", m_fleet.serverLinks);
 }
 
 void injector::disturbServer()
--- a/tests/soak/soak_injector.hpp
+++ b/tests/soak/soak_injector.hpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -55,6 +56,8 @@
     void pauseNode();
     void stopNode();
     void reloadNode();
+    /// Begins a fault on one of the links, unless that one has a fault already.
+    void disturbLink(subject_kind kind, const char *name, std::vector<std::unique_ptr<standins::fault_proxy>> &links);
     void disturbGateLink();
     void disturbStoreLink();
     void disturbServerLink();
