--- a/bench/path_suite.cpp
+++ b/bench/path_suite.cpp
@@ -1,4 +1,5 @@
 #include "caller.hpp"
+#include "connection_burst.hpp"
 #include "suites.hpp"
 #include "test_deployment.hpp"
 
@@ -95,6 +96,17 @@
     }
 }
 
+/// Time until the last of many connections, opened at once to a node, is established.
+void addBurstRow(suite_result &result, const endpoint &gate)
+{
+    constexpr std::size_t burst = 400;
+    const auto times = standins::openConnectionBurst(gate, burst, milliseconds(5000));
+    const double last = times.empty() ? 0.0 : flamingofield::toSeconds(times.back()) * 1000.0;
+    const std::string name = "burst of " + std::to_string(burst) + " fresh connections, ";
+    result.rows.push_back({name + "established", "proxy", 100.0 * static_cast<double>(times.size()) / burst, "%", 100.0});
+    result.rows.push_back({name + "last established after", "proxy", last, "ms", {}});
+}
+
 } // namespace
 
 suite_result measurePath(const bench_arguments &arguments)
@@ -121,6 +133,7 @@
             addRows(result, l, direct, measure(l));
         }
     }
+    addBurstRow(result, deployment.nodes().front().gate);
     return result;
 }
 
--- a/src/flamingofield/gate/connection_server.cpp
+++ b/src/flamingofield/gate/connection_server.cpp
@@ -1,5 +1,6 @@
 #include "gate/connection_server.hpp"
 
+#include "core/listen_backlog.hpp"
 #include "core/time.hpp"
 #include "gate/buffered_stream.hpp"
 #include "gate/request_head.hpp"
@@ -138,6 +139,10 @@
         if (port < 0) {
             return error{"listen", toString(address), std::strerror(errno)};
         }
+        // The library listens with its own, short accept queue; listening again replaces its length.
+        if (::listen(svr_sock_, listenBacklog) != 0) {
+            return error{"listen", toString(address), std::strerror(errno)};
+        }
         m_accepting = std::thread([this] { listen_after_bind(); });
         m_polling = std::thread([this] { pollLoop(); });
         return static_cast<std::uint16_t>(port);
--- a/src/flamingofield/http/listener.cpp
+++ b/src/flamingofield/http/listener.cpp
@@ -1,5 +1,6 @@
 #include "http/listener.hpp"
 
+#include "core/listen_backlog.hpp"
 #include "http/internal/client_session.hpp"
 #include "report/log.hpp"
 
@@ -12,8 +13,6 @@
 
 namespace {
 
-/// Length of the accept queue, above the bursts of reconnecting clients.
-constexpr int backlog = 1024;
 /// Delay before the next accept after a failed one, as when file descriptors have run out.
 constexpr milliseconds acceptRetryDelay{50};
 
@@ -50,7 +49,7 @@
         s.acceptor.bind(bound, failure);
     }
     if (!failure) {
-        s.acceptor.listen(backlog, failure);
+        s.acceptor.listen(listenBacklog, failure);
     }
     if (failure) {
         return error{"listen", toString(address), failure.message()};
--- a/tests/system/answer_tests.cpp
+++ b/tests/system/answer_tests.cpp
@@ -1,4 +1,5 @@
 #include "caller.hpp"
+#include "connection_burst.hpp"
 #include "raw_answer_server.hpp"
 #include "support/test_seed.hpp"
 #include "test_deployment.hpp"
@@ -8,8 +9,10 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <csignal>
 #include <future>
 #include <random>
+#include <thread>
 
 using namespace standins;
 using flamingofield::milliseconds;
@@ -30,6 +33,7 @@
     CPPUNIT_TEST(rejectsIncompleteAndMalformedAnswers);
     CPPUNIT_TEST(rejectsInvalidRequestsWithoutAffectingOtherCallers);
     CPPUNIT_TEST(servesNewCallersWhileIdleAndSlowOnesHoldConnections);
+    CPPUNIT_TEST(acceptsABurstOfConnectionsWhileTheProcessIsPaused);
     CPPUNIT_TEST(replacesSilentConnectionsToTargets);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +203,33 @@
         }
     }
 
+    /// A connection that finds the accept queue full is established only after a repeated SYN, a second later.
+    void acceptsABurstOfConnectionsWhileTheProcessIsPaused()
+    {
+        test_deployment deployment(planOf(4, false));
+        CPPUNIT_ASSERT(deployment.start());
+        const auto &node = deployment.nodes().front();
+        constexpr std::size_t burst = 400;
+        constexpr milliseconds pause{300};
+        constexpr milliseconds allowance{200};
+        for (const auto &address : {node.gate, node.admin}) {
+            node.process.signal(SIGSTOP);
+            auto resumed = std::async(std::launch::async, [&] {
+                std::this_thread::sleep_for(pause);
+                node.process.signal(SIGCONT);
+            });
+            const auto times = openConnectionBurst(address, burst, seconds(5));
+            resumed.get();
+            CPPUNIT_ASSERT_EQUAL(burst, times.size());
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(flamingofield::toMilliseconds(times.back())) + " ms until the last connection",
+                                   times.back() <= pause + allowance);
+        }
+        caller client({node.gate});
+        caller_request request;
+        request.target = "/wilgoc/read/5";
+        CPPUNIT_ASSERT_EQUAL(200, client.send("wilgoc", request).status);
+    }
+
     void replacesSilentConnectionsToTargets()
     {
         test_deployment deployment(planOf(2, true));
