Keep a hub's work per request and a node's membership independent of the fleet's size

Causes, by tools/bench node (new) and by reading: - choosing a target added up the requests of all peers for each target: service's targets x peers look-ups a choice, several choices a request and tick. Lists now hold all hubs and the 16 nodes that would follow; only hubs know all nodes of their data centre and tell their number and how many hubs it needs. Hearsay outlasts the loss of its source, silence of an awaited member ends its role, a peer that does not answer by itself replies when asked. Also: peer_regained and peer_leaving are logged once (repeated for each message of a leaving peer); peer_lost logs the true silence; a member whose clock was set back before its restart is taken up from lists; counts that a peer collected over a long time are no recent observations. Messages between nodes have a new format (7): nodes of the old release and of this one ignore each other and read the store on their own side.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -15,11 +15,8 @@
 const std::map<std::string, std::function<bench::suite_result(const bench::bench_arguments &)>> &suites()
 {
     static const std::map<std::string, std::function<bench::suite_result(const bench::bench_arguments &)>> all{
-        {"path", bench::measurePath},
-        {"cost", bench::measureCost},
-        {"spread", bench::measureSpread},
-        {"flood", bench::measureFlood},
-        {"judge", bench::measureOutlierDetection},
+        {"path", bench::measurePath},     {"cost", bench::measureCost},   {"node", bench::measureNode},
+        {"spread", bench::measureSpread}, {"flood", bench::measureFlood}, {"judge", bench::measureOutlierDetection},
         {"once", bench::measureOnce},
     };
     return all;
@@ -29,7 +26,7 @@
 {
     const auto found = suites().find(suite);
     if (found == suites().end()) {
-        std::cerr << "flamingo-bench: expected the suite path, cost, spread, flood, judge, once or demo, but got '" << suite << "'\n";
+        std::cerr << "flamingo-bench: expected the suite path, cost, node, spread, flood, judge, once or demo, but got '" << suite << "'\n";
         return usageError;
     }
     const bench::suite_result result = found->second(arguments);
@@ -48,8 +45,8 @@
     bench::bench_arguments arguments;
     std::string suite;
     std::string json;
-    po::options_description options("Usage: flamingo-bench SUITE [options]\nRuns a benchmark suite (path, cost, spread, flood, judge, "
-                                    "once; see docs/PROOFS.md) or the demo");
+    po::options_description options("Usage: flamingo-bench SUITE [options]\nRuns a benchmark suite (path, cost, node, spread, flood, "
+                                    "judge, once; see docs/PROOFS.md) or the demo");
     options.add_options()("help,h", "print this help")("suite", po::value(&suite), "suite")(
         "seed", po::value(&arguments.seed), "first random seed")("seeds", po::value(&arguments.seeds),
                                                                  "number of runs, each with the next seed")(
--- a/bench/suites.hpp
+++ b/bench/suites.hpp
@@ -32,6 +32,9 @@
 /// Measures the control-plane cost of a node in fleets of growing size, and of the tables at the size expected in two years.
 suite_result measureCost(const bench_arguments &arguments);
 
+/// Measures the processor time that a node on the platform spends on choices, messages and membership, on tables of growing size.
+suite_result measureNode(const bench_arguments &arguments);
+
 /// Measures the time until a new configuration is in effect on all nodes.
 suite_result measureSpread(const bench_arguments &arguments);
 
--- a/src/flamingofield/balance/target_choice.cpp
+++ b/src/flamingofield/balance/target_choice.cpp
@@ -190,10 +190,15 @@
 
 } // namespace
 
+bool hasFreeSlotFor(const target_row &row, int inFlight, instant now)
+{
+    return inFlight < row.entry.slots && now >= row.backoffUntil;
+}
+
 target_candidate candidateOf(target_row &row, const target_query &query, int inFlight, instant now)
 {
-    const bool isFree = inFlight < row.entry.slots && now >= row.backoffUntil;
-    return {&row, row.health.unhealthyProbability(now), expectedValueOf(row, query, duration::zero(), now), inFlight, isFree, false};
+    return {&row,     row.health.unhealthyProbability(now), expectedValueOf(row, query, duration::zero(), now),
+            inFlight, hasFreeSlotFor(row, inFlight, now),   false};
 }
 
 std::optional<target_choice> chooseAmong(std::vector<target_candidate> candidates, const target_query &query,
--- a/src/flamingofield/balance/target_choice.hpp
+++ b/src/flamingofield/balance/target_choice.hpp
@@ -73,6 +73,10 @@
     duration slotServiceTime{}; ///< Mean service time of the requests that occupy the service's slots at a given moment, zero if unknown.
 };
 
+/// True if a target takes another request now: it has a free slot and no backoff.
+/// @param inFlight requests at the target from all nodes
+bool hasFreeSlotFor(const target_row &row, int inFlight, instant now);
+
 /// Rates a target for the request.
 /// @param inFlight requests at the target from all nodes
 target_candidate candidateOf(target_row &row, const target_query &query, int inFlight, instant now);
--- a/src/flamingofield/balance/target_row.hpp
+++ b/src/flamingofield/balance/target_row.hpp
@@ -42,6 +42,7 @@
     instant lastUsedAt{}; ///< Last time that any node is known to have sent it a request.
     instant trialDueSince{}; ///< Time since when a trial request to the target has been due; instant{} if none is.
     int ownInFlight = 0; ///< Requests of this node at the target.
+    int peersInFlight = 0; ///< Requests of the other nodes at the target, as of their last reports.
     load_report load;
     health_filter health; ///< From answers to this node and to its peers.
     health_filter path; ///< Health of the network path, from this node's connections only.
--- a/src/flamingofield/balance/target_table.cpp
+++ b/src/flamingofield/balance/target_table.cpp
@@ -41,6 +41,11 @@
     ++row.counts.impairments;
 }
 
+target_report reportOf(const target_row &row)
+{
+    return {row.key, static_cast<std::uint16_t>(row.ownInFlight), row.counts};
+}
+
 std::uint64_t keyOf(const target_entry &entry)
 {
     return hashOf(entry.id, static_cast<std::uint64_t>(entry.startedAtMs));
@@ -69,6 +74,10 @@
         if (isNew) {
             row.key = key;
             row.warmUpUntil = now + entry.remainingWarmUp;
+            for (const auto &[peer, counts] : m_peers) {
+                const auto reported = counts.rows.find(key);
+                row.peersInFlight += counts.isExpired || reported == counts.rows.end() ? 0 : reported->second.inFlight;
+            }
         }
         row.entry = entry;
         row.isPresent = true;
@@ -81,13 +90,13 @@
     }
     removeDepartedTargets();
     m_byService.clear();
-    for (const auto &[key, row] : m_rows) {
+    for (auto &[key, row] : m_rows) {
         if (row.isPresent && !row.entry.isDraining) {
-            m_byService[row.entry.service].push_back(key);
+            m_byService[row.entry.service].push_back(&row);
         }
     }
-    for (auto &[service, keys] : m_byService) {
-        std::sort(keys.begin(), keys.end());
+    for (auto &[service, rows] : m_byService) {
+        std::sort(rows.begin(), rows.end(), [](const target_row *a, const target_row *b) { return a->key < b->key; });
     }
     return changed;
 }
@@ -101,27 +110,56 @@
 
 int target_table::inFlight(const target_row &row, instant now) const
 {
-    int others = 0;
-    for (const auto &[peer, counts] : m_peers) {
-        if (now - counts.lastReportAt < peerReportLifetime) {
-            const auto found = counts.rows.find(row.key);
-            others += found == counts.rows.end() ? 0 : found->second.inFlight;
-        }
-    }
     const bool isReportFresh = row.load.at != instant{} && now - row.load.at < loadReportLifetime;
     const int reported = isReportFresh ? row.load.running + row.load.waiting : 0;
-    return std::max(row.ownInFlight + others, reported);
+    return std::max(row.ownInFlight + row.peersInFlight, reported);
 }
 
-std::vector<target_candidate> target_table::candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now)
+void target_table::addPeersInFlight(std::uint64_t key, int change)
+{
+    if (change == 0) {
+        return;
+    }
+    if (target_row *row = find(key)) {
+        row->peersInFlight += change;
+    }
+}
+
+void target_table::expirePeerReports(instant now)
+{
+    if (now < m_nextPeerExpiry) {
+        return;
+    }
+    m_nextPeerExpiry = now + peerReportLifetime;
+    for (auto &[peer, counts] : m_peers) {
+        const instant expiry = counts.lastReportAt + peerReportLifetime;
+        if (!counts.isExpired && expiry <= now) {
+            counts.isExpired = true;
+            for (const auto &[key, row] : counts.rows) {
+                addPeersInFlight(key, -row.inFlight);
+            }
+        } else if (!counts.isExpired) {
+            m_nextPeerExpiry = std::min(m_nextPeerExpiry, expiry);
+        }
+    }
+}
+
+std::vector<target_candidate> target_table::candidatesFor(const target_query &query, const std::vector<target_row *> &rows, instant now)
 {
     std::vector<target_candidate> candidates;
-    for (const std::uint64_t key : keys) {
-        target_row &row = m_rows.at(key);
-        const bool isExcluded
-            = query.excluded != nullptr && std::find(query.excluded->begin(), query.excluded->end(), row.entry.id) != query.excluded->end();
-        if (!isExcluded) {
-            candidates.push_back(candidateOf(row, query, inFlight(row, now), now));
+    const auto isExcluded = [&](const target_row &row) {
+        return query.excluded != nullptr
+            && std::find(query.excluded->begin(), query.excluded->end(), row.entry.id) != query.excluded->end();
+    };
+    const bool hasFreeSlot
+        = std::any_of(rows.begin(), rows.end(), [&](const target_row *row) { return hasFreeSlotFor(*row, inFlight(*row, now), now); });
+    if (!hasFreeSlot) {
+        return candidates;
+    }
+    candidates.reserve(rows.size());
+    for (target_row *row : rows) {
+        if (!isExcluded(*row)) {
+            candidates.push_back(candidateOf(*row, query, inFlight(*row, now), now));
         }
     }
     return candidates;
@@ -138,13 +176,14 @@
 
 std::optional<target_choice> target_table::choose(const target_query &query, instant now)
 {
-    const auto keys = m_byService.find(std::string(query.service));
-    if (keys == m_byService.end()) {
+    const auto rows = m_byService.find(std::string(query.service));
+    if (rows == m_byService.end()) {
         return std::nullopt;
     }
+    expirePeerReports(now);
     ++m_choices;
     const auto choice
-        = chooseAmong(candidatesFor(query, keys->second, now), query,
+        = chooseAmong(candidatesFor(query, rows->second, now), query,
                       {m_dataCentre, m_seed + m_choices, m_trialAssignment, m_floorShare, slotServiceTime(query.service)}, now);
     if (choice) {
         choice->row->lastUsedAt = now;
@@ -152,11 +191,18 @@
     return choice;
 }
 
-bool target_table::takeUrgentReportFlag()
+std::vector<target_report> target_table::takeUrgentReports()
 {
-    const bool hadUrgentReport = m_hasUrgentReport;
-    m_hasUrgentReport = false;
-    return hadUrgentReport;
+    std::sort(m_urgentKeys.begin(), m_urgentKeys.end());
+    m_urgentKeys.erase(std::unique(m_urgentKeys.begin(), m_urgentKeys.end()), m_urgentKeys.end());
+    std::vector<target_report> reports;
+    for (const std::uint64_t key : m_urgentKeys) {
+        if (const target_row *row = find(key)) {
+            reports.push_back(reportOf(*row));
+        }
+    }
+    m_urgentKeys.clear();
+    return reports;
 }
 
 void target_table::requestStarted(target_row &row)
@@ -183,7 +229,7 @@
         row.health.observe(failureEvidence, now);
         row.path.observe(successEvidence, now);
         ++row.counts.failures;
-        m_hasUrgentReport = true;
+        m_urgentKeys.push_back(row.key);
         break;
     case target_outcome::shed:
         row.backoffUntil = now + shedBackoff;
@@ -227,17 +273,42 @@
 {
     peer_counts &counts = m_peers[peer];
     const bool isFirst = counts.lastReportAt == instant{};
-    counts.lastReportAt = now;
     for (auto &[key, row] : counts.rows) {
+        addPeersInFlight(key, counts.isExpired ? 0 : -row.inFlight);
         row.inFlight = 0;
     }
+    counts.isExpired = false;
+    counts.lastReportAt = now;
+    applyRows(counts, rows, isFirst, now);
+    for (auto position = m_peers.begin(); position != m_peers.end();) {
+        constexpr seconds peerRetention{30};
+        // The reports of a removed peer have expired long before, so none of its requests in flight is counted any more.
+        const bool isForgotten = position->second.isExpired && now - position->second.lastReportAt > peerRetention;
+        position = isForgotten ? m_peers.erase(position) : std::next(position);
+    }
+}
+
+void target_table::applyPartialPeerReport(std::uint64_t peer, const std::vector<target_report> &rows, instant now)
+{
+    const auto found = m_peers.find(peer);
+    if (found != m_peers.end() && !found->second.isExpired) {
+        applyRows(found->second, rows, false, now);
+    }
+}
+
+void target_table::applyRows(peer_counts &counts, const std::vector<target_report> &rows, bool isFirst, instant now)
+{
     for (const auto &row : rows) {
-        auto [position, isNew] = counts.rows.try_emplace(row.key, row);
-        const target_counts before = isNew ? target_counts() : position->second.counts;
+        auto [position, isNew] = counts.rows.try_emplace(row.key);
+        const target_counts before = position->second.counts;
+        addPeersInFlight(row.key, row.inFlight - position->second.inFlight);
         position->second = row;
         target_row *target = find(row.key);
-        // A peer's first report holds its totals since its start; the difference to nothing is no recent observation.
-        if (target == nullptr || isFirst) {
+        // Totals that the peer has collected since its start are no recent observations. They come with its first report, and with the
+        // first report about a target that it has not used for a while.
+        constexpr std::uint32_t maxObservations = 8;
+        const bool isOldTotal = isFirst || (isNew && row.counts.requestsSent > maxObservations);
+        if (target == nullptr || isOldTotal) {
             continue;
         }
         if (row.counts.requestsSent != before.requestsSent) {
@@ -249,7 +320,6 @@
         if (row.counts.replacements > before.replacements) {
             target->backoffUntil = std::max(target->backoffUntil, now + replacedBackoff);
         }
-        constexpr std::uint32_t maxObservations = 8;
         const auto observeTimes = [&](std::uint32_t newer, std::uint32_t older, observation_likelihood likelihood) {
             const std::uint32_t times = newer > older ? std::min(newer - older, maxObservations) : 0;
             for (std::uint32_t i = 0; i < times; ++i) {
@@ -260,10 +330,6 @@
         observeTimes(row.counts.successes, before.successes, successEvidence);
         observeTimes(row.counts.overdueOrResetRequests, before.overdueOrResetRequests, peerOverdueOrResetEvidence);
     }
-    for (auto position = m_peers.begin(); position != m_peers.end();) {
-        constexpr seconds peerRetention{30};
-        position = now - position->second.lastReportAt > peerRetention ? m_peers.erase(position) : std::next(position);
-    }
 }
 
 std::vector<target_report> target_table::reportForPeers(instant now) const
@@ -272,7 +338,7 @@
     for (const auto &[key, row] : m_rows) {
         const bool isRecent = row.reportChangedAt != instant{} && now - row.reportChangedAt < changeResendPeriod;
         if (row.ownInFlight > 0 || isRecent) {
-            reports.push_back({key, static_cast<std::uint16_t>(row.ownInFlight), row.counts});
+            reports.push_back(reportOf(row));
         }
     }
     return reports;
@@ -312,11 +378,11 @@
 
 int target_table::slotsOf(std::string_view service) const
 {
-    const auto keys = m_byService.find(std::string(service));
+    const auto rows = m_byService.find(std::string(service));
     int slots = 0;
-    if (keys != m_byService.end()) {
-        for (const std::uint64_t key : keys->second) {
-            slots += m_rows.at(key).entry.slots;
+    if (rows != m_byService.end()) {
+        for (const target_row *row : rows->second) {
+            slots += row->entry.slots;
         }
     }
     return slots;
@@ -324,12 +390,11 @@
 
 int target_table::freeSlotsOf(std::string_view service, instant now) const
 {
-    const auto keys = m_byService.find(std::string(service));
+    const auto rows = m_byService.find(std::string(service));
     int slots = 0;
-    if (keys != m_byService.end()) {
-        for (const std::uint64_t key : keys->second) {
-            const target_row &row = m_rows.at(key);
-            slots += std::max(0, row.entry.slots - inFlight(row, now));
+    if (rows != m_byService.end()) {
+        for (const target_row *row : rows->second) {
+            slots += std::max(0, row->entry.slots - inFlight(*row, now));
         }
     }
     return slots;
--- a/src/flamingofield/balance/target_table.hpp
+++ b/src/flamingofield/balance/target_table.hpp
@@ -54,6 +54,9 @@
     /// Chooses a target for a request, see chooseAmong().
     std::optional<target_choice> choose(const target_query &query, instant now);
 
+    /// Drops the requests in flight of peers whose reports have expired; called by choose().
+    void expirePeerReports(instant now);
+
     void requestStarted(target_row &row);
     void requestFinished(target_row &row, target_outcome outcome, duration taken, duration meanServiceTime, instant now);
 
@@ -68,17 +71,21 @@
         m_floorShare = share;
     }
 
-    /// True if an error answer was recorded since the last call, which should be reported to peers at once. Clears the flag.
-    bool takeUrgentReportFlag();
+    /// This node's reports about the targets that gave an error answer since the last call. Peers should get them at once.
+    std::vector<target_report> takeUrgentReports();
 
     /// Records that a request has become overdue (once for each request) or that its connection was reset.
     void recordOverdueOrReset(target_row &row, instant now);
 
     void setLoadReport(target_row &row, load_report report);
 
-    /// Applies a peer's report about its own requests.
+    /// Applies a peer's report about all targets at which it has requests or had some recently.
     void applyPeerReport(std::uint64_t peer, const std::vector<target_report> &rows, instant now);
 
+    /// Applies a peer's report about some of its targets; what it reported before about the others still applies. Ignored if no other
+    /// report of the peer is current.
+    void applyPartialPeerReport(std::uint64_t peer, const std::vector<target_report> &rows, instant now);
+
     /// This node's report to its peers: the targets with requests in flight or with recent changes.
     std::vector<target_report> reportForPeers(instant now) const;
 
@@ -109,9 +116,12 @@
     {
         std::unordered_map<std::uint64_t, target_report> rows;
         instant lastReportAt{};
+        bool isExpired = false; ///< Its requests in flight are no longer counted.
     };
 
-    std::vector<target_candidate> candidatesFor(const target_query &query, const std::vector<std::uint64_t> &keys, instant now);
+    std::vector<target_candidate> candidatesFor(const target_query &query, const std::vector<target_row *> &rows, instant now);
+    void addPeersInFlight(std::uint64_t key, int change);
+    void applyRows(peer_counts &counts, const std::vector<target_report> &rows, bool isFirst, instant now);
     /// Mean service time of the requests that occupy the service's slots at a given moment, zero if unknown.
     duration slotServiceTime(std::string_view service) const;
     void removeDepartedTargets();
@@ -120,12 +130,13 @@
     std::string m_dataCentre;
     std::uint64_t m_seed;
     std::uint64_t m_choices = 0;
-    bool m_hasUrgentReport = false;
+    std::vector<std::uint64_t> m_urgentKeys; ///< Targets that gave an error answer since the last urgent report.
     trial_assignment m_trialAssignment{1, 0};
     double m_floorShare = 0.7;
     std::unordered_map<std::uint64_t, target_row> m_rows;
-    std::unordered_map<std::string, std::vector<std::uint64_t>> m_byService;
+    std::unordered_map<std::string, std::vector<target_row *>> m_byService; ///< Targets that take requests, in the order of their keys.
     std::map<std::uint64_t, peer_counts> m_peers;
+    instant m_nextPeerExpiry{}; ///< No peer's report expires before this time.
     std::unordered_map<std::string, slot_occupancy> m_occupancy; ///< By service.
 };
 
--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace flamingofield {
 
@@ -22,11 +23,12 @@
 constexpr milliseconds connectionCheckInterval{250};
 /// TTL of address answers; short because any VM may disappear at any time.
 constexpr seconds addressTtl{2};
-/// A node that knows fewer live members asks its peers for their member lists.
-constexpr std::size_t minLiveMembers = 2;
 constexpr milliseconds peerFetchTimeout{600};
-/// Interval at which messages to other data centres include the member list.
-constexpr milliseconds remoteMembersInterval{1000};
+/// Interval at which messages between hubs include the member list; hubs exchange messages directly and need it only to discover hubs
+/// that they miss.
+constexpr milliseconds hubMembersInterval{1000};
+/// The same for messages to followers, which know their hub's successors from these lists only.
+constexpr milliseconds followerMembersInterval{500};
 
 std::uint32_t millicoresOf(const edge_settings &settings)
 {
@@ -170,7 +172,7 @@
         m_members.setReady(isReady());
         for (const node_address peer : m_members.takeLostMembers(now)) {
             logEvent(log_level::warn, "peer_lost",
-                     {{"peer", toText(peer)}, {"silent_ms", std::to_string(member_table::memberLease.count())}});
+                     {{"peer", toText(peer)}, {"silent_ms", std::to_string(toMilliseconds(m_members.silenceOf(peer, now)))}});
         }
         m_readerPosition = m_members.readerPosition(now);
         m_hubs = m_members.readyHubs(now);
@@ -188,7 +190,7 @@
         const std::size_t servingNodes = std::max<std::size_t>(1, m_hubs.size() + (isHub ? 0 : 1));
         m_targets.setTrialAssignment(assignment);
         m_requestProxy.setShare(
-            {1.0 / static_cast<double>(servingNodes), nodesSharingRetryBudget(isHub, m_hubs.size(), m_members.livePeerCount(now))});
+            {1.0 / static_cast<double>(servingNodes), nodesSharingRetryBudget(isHub, m_hubs.size(), m_members.liveNodes(now) - 1)});
     }
 
     /// Hubs share the trials of unused targets; other nodes receive too few peers' counts to know which targets are unused.
@@ -224,77 +226,133 @@
         return false;
     }
 
+    /// Sends the messages that are due, each encoded once for all recipients of an audience.
     void sendToPeers(instant now)
     {
-        if (m_targets.takeUrgentReportFlag()) {
-            m_members.makeHubMessagesDue(now);
+        sendUrgentReports(now);
+        std::map<message_audience, std::string> encoded;
+        for (const node_address address : m_members.takeDueRecipients(m_requestProxy.inFlight() > 0, now)) {
+            const message_audience audience = m_members.audienceOf(address, now);
+            if (audience == message_audience::unconfirmed) {
+                // Lists the nodes of the recipient's data centre, so it is encoded for each one.
+                send(address, requestForReply(m_members.dataCentreOf(address), now));
+                continue;
+            }
+            std::string &bytes = encoded[audience];
+            if (bytes.empty()) {
+                bytes = encode(messageFor(audience, now));
+            }
+            m_mesh.send({toText(address), m_settings.meshPort}, bytes);
         }
-        const auto due = m_members.takeDueRecipients(m_requestProxy.inFlight() > 0, now);
-        if (due.empty()) {
+    }
+
+    /// Reports error answers to the other hubs at once, between the regular messages.
+    void sendUrgentReports(instant now)
+    {
+        std::vector<target_report> reports = m_targets.takeUrgentReports();
+        if (reports.empty()) {
             return;
         }
+        mesh_message message = stateMessage(now);
+        message.targets = std::move(reports);
+        const std::string bytes = encode(message);
+        for (const mesh_member &hub : m_members.readyHubs(now)) {
+            if (hub.address != m_members.self().address && m_members.isSendingTo(hub.address)) {
+                m_mesh.send({toText(hub.address), m_settings.meshPort}, bytes);
+            }
+        }
+    }
+
+    void send(node_address address, const mesh_message &message)
+    {
+        m_mesh.send({toText(address), m_settings.meshPort}, encode(message));
+    }
+
+    /// Message with what every message holds, and no reports about targets.
+    mesh_message stateMessage(instant now) const
+    {
         mesh_message message;
+        message.isPartialReport = true;
         message.sender = m_members.self();
         message.isLeaving = m_stop.isRunning();
-        message.wantsReply = m_members.livePeerCount(now) < minLiveMembers;
         message.fleetState = m_fleetState.summaryForPeers(now);
-        message.targets = m_targets.reportForPeers(now);
+        return message;
+    }
+
+    mesh_message requestForReply(const std::string &dataCentre, instant now) const
+    {
+        mesh_message message = stateMessage(now);
+        message.wantsReply = true;
+        message.members = m_members.membersForPeer(dataCentre, now);
+        return message;
+    }
+
+    mesh_message messageFor(message_audience audience, instant now)
+    {
+        mesh_message message = stateMessage(now);
         for (const auto &[service, counts] : m_retries.reportForPeers(now)) {
             message.services.push_back({service, counts, m_outcomes.own(service, now)});
         }
-        std::string localBytes;
-        std::string remoteBytes;
-        for (const node_address address : due) {
-            // While too few members are live, all recipients get the message with the full member list.
-            const bool getsLocalMessage = m_members.isInOwnDataCentre(address) || message.wantsReply;
-            std::string &bytes = getsLocalMessage ? localBytes : remoteBytes;
-            if (bytes.empty()) {
-                // Hubs of other data centres exchange messages directly and need the list only to discover hubs that they miss.
-                const bool includesMembers = getsLocalMessage || now - m_remoteMembersSentAt >= remoteMembersInterval;
-                m_remoteMembersSentAt = !getsLocalMessage && includesMembers ? now : m_remoteMembersSentAt;
-                message.healthEstimates = getsLocalMessage && m_isHub ? m_targets.healthEstimates(now) : std::string();
-                message.members = includesMembers ? m_members.membersForPeer(getsLocalMessage, now) : std::vector<mesh_member>();
-                bytes = encode(message);
-            }
-            m_mesh.send({toText(address), m_settings.meshPort}, bytes);
+        if (audience == message_audience::follower) {
+            message.healthEstimates = m_targets.healthEstimates(now);
+        } else {
+            message.targets = m_targets.reportForPeers(now);
+            message.isPartialReport = false;
         }
+        const bool isHub = m_members.isHub(now);
+        // A hub that does not consider this node as its follower must answer, or this node would take it for dead.
+        message.wantsReply = !isHub;
+        const milliseconds interval = audience == message_audience::follower ? followerMembersInterval : hubMembersInterval;
+        instant &listedAt = m_membersSentAt[audience];
+        if (isHub && now - listedAt >= interval) {
+            listedAt = now;
+            message.members
+                = m_members.membersForPeer(audience == message_audience::remoteHub ? std::string() : m_settings.dataCentre, now);
+        }
+        return message;
     }
 
     void handleMessage(const mesh_message &message)
     {
         const instant now = std::chrono::steady_clock::now();
-        if (m_members.applyMessage(message, now)) {
+        const node_address sender = message.sender.address;
+        switch (m_members.applyMessage(message, now)) {
+        case member_change::none:
+            break;
+        case member_change::regained:
             logEvent(log_level::info, "peer_regained",
-                     {{"peer", toText(message.sender.address)},
+                     {{"peer", toText(sender)},
                       {"data_centre", message.sender.dataCentre},
                       {"incarnation", std::to_string(message.sender.incarnation)}});
+            break;
+        case member_change::leaving:
+            logEvent(log_level::info, "peer_leaving", {{"peer", toText(sender)}});
+            break;
         }
-        if (message.isLeaving) {
-            logEvent(log_level::info, "peer_leaving", {{"peer", toText(message.sender.address)}});
+        m_fleetState.handlePeerSummary(sender, message.fleetState, now);
+        if (message.isPartialReport) {
+            m_targets.applyPartialPeerReport(sender, message.targets, now);
+        } else {
+            m_targets.applyPeerReport(sender, message.targets, now);
         }
-        m_fleetState.handlePeerSummary(message.sender.address, message.fleetState, now);
-        m_targets.applyPeerReport(message.sender.address, message.targets, now);
         for (const auto &row : message.services) {
-            m_retries.applyPeerReport(message.sender.address, row.service, row.retryCounts, now);
-            m_outcomes.applyPeerReport(message.sender.address, row.service, row.outcomes, now);
+            m_retries.applyPeerReport(sender, row.service, row.retryCounts, now);
+            m_outcomes.applyPeerReport(sender, row.service, row.outcomes, now);
         }
         if (!m_isHub && !message.healthEstimates.empty()
             && message.fleetState.targetsDigest == m_fleetState.summaryForPeers(now).targetsDigest) {
             m_targets.applyHealthEstimates(message.healthEstimates, now);
         }
-        if (message.wantsReply) {
-            reply(message.sender.address, now);
+        if (message.wantsReply && !m_members.isSendingTo(sender)) {
+            reply(message.sender, now);
         }
     }
 
-    void reply(node_address address, instant now)
+    void reply(const mesh_member &peer, instant now)
     {
-        mesh_message answer;
-        answer.sender = m_members.self();
-        answer.isLeaving = m_stop.isRunning();
-        answer.fleetState = m_fleetState.summaryForPeers(now);
-        answer.members = m_members.membersForPeer(true, now);
-        m_mesh.send({toText(address), m_settings.meshPort}, encode(answer));
+        mesh_message answer = stateMessage(now);
+        answer.members = m_members.membersForPeer(peer.dataCentre, now);
+        send(peer.address, answer);
     }
 
     void fetch(node_address peer, const std::string &path, std::function<void(result<http_answer_message>)> onEnd)
@@ -414,7 +472,7 @@
     std::size_t m_readerPosition = 0;
     instant m_rolesUpdatedAt{};
     instant m_connectionsCheckedAt{};
-    instant m_remoteMembersSentAt{};
+    std::map<message_audience, instant> m_membersSentAt; ///< Last message with a member list.
     bool m_isHub = false;
     stop_sequence m_stop;
 };
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Format version, the first element of each message; must change whenever the layout changes.
-constexpr int messageFormat = 6;
+constexpr int messageFormat = 7;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -48,9 +48,9 @@
 
 void pack(packer &out, const mesh_member &member)
 {
-    out.pack_array(6);
+    out.pack_array(8);
     out.pack(member.address).pack(member.dataCentre).pack(member.incarnation).pack(member.isReady).pack(member.capacityMillicores);
-    out.pack(member.ageMs);
+    out.pack(member.ageMs).pack(member.localHubs).pack(member.localNodes);
 }
 
 mesh_member unpackMember(const msgpack::object &object)
@@ -63,6 +63,8 @@
     member.isReady = in.as<bool>();
     member.capacityMillicores = in.as<std::uint32_t>();
     member.ageMs = in.as<std::uint32_t>();
+    member.localHubs = in.as<std::uint32_t>();
+    member.localNodes = in.as<std::uint32_t>();
     return member;
 }
 
@@ -193,12 +195,13 @@
 {
     msgpack::sbuffer buffer;
     packer out(buffer);
-    out.pack_array(9);
+    out.pack_array(10);
     out.pack(messageFormat);
     pack(out, message.sender);
     out.pack(message.isLeaving).pack(message.wantsReply);
     pack(out, message.fleetState);
     packRows(out, message.members);
+    out.pack(message.isPartialReport);
     packRows(out, message.targets);
     packRows(out, message.services);
     out.pack(message.healthEstimates);
@@ -218,6 +221,7 @@
         message.wantsReply = in.as<bool>();
         message.fleetState = unpackFleetState(in.next());
         message.members = unpackRows(in.next(), unpackMember);
+        message.isPartialReport = in.as<bool>();
         message.targets = unpackRows(in.next(), unpackReportedTarget);
         message.services = unpackRows(in.next(), unpackService);
         message.healthEstimates = in.as<std::string>();
--- a/src/flamingofield/mesh/mesh_message.hpp
+++ b/src/flamingofield/mesh/mesh_message.hpp
@@ -23,6 +23,8 @@
     bool isReady = false;
     std::uint32_t capacityMillicores = millicoresPerCore; ///< CPU capacity, in thousandths of a core.
     std::uint32_t ageMs = 0; ///< Time since the member's last message to the sender or to the peer that listed it.
+    std::uint32_t localHubs = 0; ///< Number of hubs that its data centre needs; zero unless the member is a hub itself.
+    std::uint32_t localNodes = 0; ///< Number of live nodes of its data centre; zero unless the member is a hub itself.
 
     static constexpr std::uint32_t millicoresPerCore = 1000;
 };
@@ -53,9 +55,12 @@
 {
     mesh_member sender;
     bool isLeaving = false;
-    bool wantsReply = false; ///< The sender knows too few live members and asks for a member list.
+    /// The sender does not know whether the recipient sends to it; a recipient that does not answers with its state and a member list.
+    bool wantsReply = false;
     fleet_state_summary fleetState;
     std::vector<mesh_member> members;
+    /// True if targets holds only some of the sender's targets; what it reported about the others still applies.
+    bool isPartialReport = false;
     std::vector<target_report> targets;
     std::vector<mesh_service> services;
     std::string healthEstimates; ///< From hubs only: the sender's health estimate of each target, see target_table::healthEstimates().
--- a/tests/balance/target_table_tests.cpp
+++ b/tests/balance/target_table_tests.cpp
@@ -18,6 +18,10 @@
 {
     CPPUNIT_TEST_SUITE(target_table_tests);
     CPPUNIT_TEST(staysWithinTheSlotsLeftByRequestsOfPeers);
+    CPPUNIT_TEST(countsRequestsOfPeersAtATargetThatIsAddedLater);
+    CPPUNIT_TEST(keepsWhatAPartialReportLeavesOut);
+    CPPUNIT_TEST(reportsErrorAnswersOnceBetweenTheRegularReports);
+    CPPUNIT_TEST(takesTheTotalsOfALongTimeForNoRecentFailures);
     CPPUNIT_TEST(sendsNothingToDrainingOrRemovedTargets);
     CPPUNIT_TEST(waitsForHealthyTargetsWhileAnUnhealthyOneIsFree);
     CPPUNIT_TEST(reservesHealthySlotsForUrgentRequestsWhileUnhealthyTargetsAreFree);
@@ -86,6 +90,85 @@
         CPPUNIT_ASSERT(table.choose(query(), start + seconds(2)).has_value());
     }
 
+    /// A peer that has read the registry earlier already uses the new target.
+    void countsRequestsOfPeersAtATargetThatIsAddedLater()
+    {
+        target_table peerTable("here", 2);
+        peerTable.apply(snapshot(2), start);
+        const std::uint64_t key = keyOf(peerTable, "t1");
+        target_table table("here", 1);
+        table.apply(snapshot(1), start);
+        table.applyPeerReport(7, {}, start);
+        table.applyPeerReport(7, {{key, 4, {}}}, start);
+        table.apply(snapshot(2), start);
+        CPPUNIT_ASSERT_EQUAL(4, table.inFlight(*table.find(key), start));
+        table.applyPeerReport(7, {{key, 1, {}}}, start);
+        CPPUNIT_ASSERT_EQUAL(1, table.inFlight(*table.find(key), start));
+        table.expirePeerReports(start + seconds(2));
+        CPPUNIT_ASSERT_EQUAL(0, table.inFlight(*table.find(key), start + seconds(2)));
+        // A report after the expiry counts anew.
+        table.applyPeerReport(7, {{key, 3, {}}}, start + seconds(3));
+        CPPUNIT_ASSERT_EQUAL(3, table.inFlight(*table.find(key), start + seconds(3)));
+    }
+
+    void keepsWhatAPartialReportLeavesOut()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(2), start);
+        const std::uint64_t first = keyOf(table, "t0");
+        const std::uint64_t second = keyOf(table, "t1");
+        // Without a complete report the partial one has nothing to refer to.
+        table.applyPartialPeerReport(7, {{first, 3, {}}}, start);
+        CPPUNIT_ASSERT_EQUAL(0, table.inFlight(*table.find(first), start));
+        table.applyPeerReport(7, {{first, 3, {}}, {second, 2, {}}}, start);
+        target_report failed{second, 1, {}};
+        failed.counts.failures = 1;
+        failed.counts.requestsSent = 1;
+        const double before = table.find(second)->health.unhealthyProbability(start);
+        table.applyPartialPeerReport(7, {failed}, start);
+        CPPUNIT_ASSERT_EQUAL(3, table.inFlight(*table.find(first), start));
+        CPPUNIT_ASSERT_EQUAL(1, table.inFlight(*table.find(second), start));
+        CPPUNIT_ASSERT(table.find(second)->health.unhealthyProbability(start) > before + 0.3);
+        table.applyPeerReport(7, {failed}, start);
+        CPPUNIT_ASSERT_EQUAL(0, table.inFlight(*table.find(first), start));
+    }
+
+    void reportsErrorAnswersOnceBetweenTheRegularReports()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(3), start);
+        target_row *row = table.find(keyOf(table, "t1"));
+        for (int i = 0; i < 2; ++i) {
+            table.requestStarted(*row);
+            table.requestFinished(*row, target_outcome::failed, milliseconds(3), serviceTime, start);
+        }
+        const auto reports = table.takeUrgentReports();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reports.size());
+        CPPUNIT_ASSERT_EQUAL(row->key, reports.front().key);
+        CPPUNIT_ASSERT_EQUAL(2U, reports.front().counts.failures);
+        CPPUNIT_ASSERT(table.takeUrgentReports().empty());
+    }
+
+    /// A hub that starts, or that takes over, hears of the totals that its peers have collected for hours.
+    void takesTheTotalsOfALongTimeForNoRecentFailures()
+    {
+        target_table table("here", 1);
+        table.apply(snapshot(2), start);
+        const std::uint64_t key = keyOf(table, "t0");
+        table.applyPeerReport(7, {}, start);
+        target_report total{key, 0, {}};
+        total.counts.requestsSent = 1000;
+        total.counts.successes = 980;
+        total.counts.failures = 20;
+        const double before = table.find(key)->health.unhealthyProbability(start);
+        table.applyPeerReport(7, {total}, start);
+        CPPUNIT_ASSERT(table.find(key)->health.unhealthyProbability(start) <= before);
+        ++total.counts.failures;
+        ++total.counts.requestsSent;
+        table.applyPeerReport(7, {total}, start);
+        CPPUNIT_ASSERT(table.find(key)->health.unhealthyProbability(start) > before + 0.3);
+    }
+
     void sendsNothingToDrainingOrRemovedTargets()
     {
         target_table table("here", 1);
