Let an odd registration of another writer cost itself alone

Reported by operators of similar systems: one odd entry among those of the targets ended the processes that read the list, or stopped them following it.

--- a/tests/platform/platform_format_tests.cpp
+++ b/tests/platform/platform_format_tests.cpp
@@ -1,6 +1,8 @@
 #include "node_file.hpp"
 #include "platform_adapter.hpp"
 #include "store_format.hpp"
+#include "support/odd_registrations.hpp"
+#include "support/test_seed.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -45,6 +47,10 @@
     CPPUNIT_TEST(errorNamesTheMissingOrMalformedSetting);
     CPPUNIT_TEST(decodesARegistration);
     CPPUNIT_TEST(rejectsUnusableRegistrations);
+    CPPUNIT_TEST(rejectsNumbersOutOfRange);
+    CPPUNIT_TEST(survivesOddRegistrations);
+    CPPUNIT_TEST(survivesVeryDeeplyNestedValues);
+    CPPUNIT_TEST(continuesAPageAfterItsLastUnreadableRow);
     CPPUNIT_TEST(decodesAConfigurationWithTrafficSplitAndLimits);
     CPPUNIT_TEST(rejectsTruncatedAndIncompleteConfigurations);
     CPPUNIT_TEST(decodesPagesAndSkipsUnreadableRows);
@@ -112,6 +118,70 @@
         CPPUNIT_ASSERT(!platform::decodeTarget({"servers/i-1", "\x01\x02", 5, false}).has_value());
     }
 
+    static bool isAcceptedWith(const std::string &from, const std::string &to)
+    {
+        std::string text = goodRegistration;
+        text.replace(text.find(from), from.size(), to);
+        return platform::decodeTarget({"servers/i-1", text, 5, false}).has_value();
+    }
+
+    void rejectsNumbersOutOfRange()
+    {
+        for (const std::string slots : {"-4", "4294967300", "1e30", "1e999", "4.5", "18446744073709551616", "10001", "true", "null"}) {
+            CPPUNIT_ASSERT_MESSAGE(slots, !isAcceptedWith("\"slots\":4", "\"slots\":" + slots));
+        }
+        for (const std::string born : {"-1", "1e300", "1700000000123.5", "\"1700000000123\"", "18446744073709551615"}) {
+            CPPUNIT_ASSERT_MESSAGE(born, !isAcceptedWith("1700000000123", born));
+        }
+        for (const std::string warmUp : {"-1", "1e300", "1e999", "\"long\"", "[]"}) {
+            CPPUNIT_ASSERT_MESSAGE(warmUp, !isAcceptedWith("1500", warmUp));
+        }
+        for (const std::string port : {"0", "65536", "-1", "99999999999999999999", "http", ""}) {
+            CPPUNIT_ASSERT_MESSAGE(port, !isAcceptedWith("10.128.0.9:8080", "10.128.0.9:" + port));
+        }
+        CPPUNIT_ASSERT(isAcceptedWith("1500", "1500.25"));
+    }
+
+    /// One odd entry among those of the targets must cost itself alone, not the process that reads the list.
+    void survivesOddRegistrations()
+    {
+        test_support::odd_registration_generator generator(test_support::testSeed());
+        int accepted = 0;
+        for (int i = 0; i < 300; ++i) {
+            const auto target = platform::decodeTarget({"servers/i-1", generator.next(), 5, false});
+            if (!target) {
+                CPPUNIT_ASSERT_EQUAL(std::string("decode registration"), target.error().step);
+                continue;
+            }
+            ++accepted;
+            CPPUNIT_ASSERT(target.value().slots >= 1 && target.value().slots <= 10000);
+            CPPUNIT_ASSERT(target.value().address.port != 0 && isIpv4(target.value().address.host));
+            CPPUNIT_ASSERT(target.value().remainingWarmUp >= milliseconds(0) && target.value().remainingWarmUp <= std::chrono::hours(1));
+            CPPUNIT_ASSERT(target.value().startedAtMs >= 0);
+        }
+        CPPUNIT_ASSERT(accepted > 0); // For example with an odd version, which is not used.
+    }
+
+    void survivesVeryDeeplyNestedValues()
+    {
+        constexpr std::size_t depth = 1000000;
+        for (const bool isObject : {false, true}) {
+            const std::string nested = test_support::nestedValue(depth, isObject);
+            CPPUNIT_ASSERT(!platform::decodeTarget({"servers/i-1", nested, 5, false}).has_value());
+            CPPUNIT_ASSERT(!platform::decodePage(nested).has_value());
+            CPPUNIT_ASSERT(!platform::decodeConfig({5, nested}).has_value());
+        }
+    }
+
+    void continuesAPageAfterItsLastUnreadableRow()
+    {
+        const auto page = platform::decodePage(R"({"items":[{"key":"servers/a","value":"***"},{"key":"servers/b","value":7},{"key":5}],)"
+                                               R"("has_more":true,"store_revision":530})");
+        CPPUNIT_ASSERT(page.has_value());
+        CPPUNIT_ASSERT(page.value().items.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/b"), page.value().lastKey);
+    }
+
     void decodesAConfigurationWithTrafficSplitAndLimits()
     {
         const auto config = platform::decodeConfig(
--- a/tests/system/platform_tests.cpp
+++ b/tests/system/platform_tests.cpp
@@ -1,4 +1,6 @@
 #include "standins/platform_fleet.hpp"
+#include "support/odd_registrations.hpp"
+#include "support/test_seed.hpp"
 #include "test_deployment.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -30,6 +32,7 @@
     CPPUNIT_TEST(sendsNothingToADrainingTargetAfterTheDrainTime);
     CPPUNIT_TEST(sendsNothingToATargetThatSaysItIsLeavingWhileTheStoreIsSilent);
     CPPUNIT_TEST(sendsNothingToATargetForTheTimeOfItsRetryAfter);
+    CPPUNIT_TEST(followsTheTargetsAmongOddEntriesOfOtherWriters);
     CPPUNIT_TEST(appliesConfigurationsOnAllNodesInTime);
     CPPUNIT_TEST(keepsServingWhileTheStoreIsSilentAndAppliesChangesAfterwards);
     CPPUNIT_TEST(appliesChangesMissingFromADroppedHistory);
@@ -152,6 +155,35 @@
         CPPUNIT_ASSERT(awaitTrue([&] { return sendOne() == 200 && fleet.servers[0]->arrivalsSince(closed) > 0; }, seconds(5)));
     }
 
+    /// Odd entries fill whole pages of the list, also with keys that need encoding in the query for the next page.
+    void followsTheTargetsAmongOddEntriesOfOtherWriters()
+    {
+        platform_fleet fleet(3, 2);
+        CPPUNIT_ASSERT(fleet.start());
+        platform_standins::store_behaviour smallPages;
+        smallPages.pageSize = 1;
+        fleet.store.setBehaviour(smallPages);
+        test_support::odd_registration_generator generator(test_support::testSeed());
+        for (const std::string key : {"!first", "a&after=z", "a b", "a%20b", "a#c", "h\xc3\xa9", "h1", "h2", "h3", "zz"}) {
+            fleet.store.put("servers/" + key, generator.next());
+        }
+        // The second server comes after the odd entries in the order of keys; its leaving must still be noticed.
+        fleet.registerServer(1, true);
+        std::this_thread::sleep_for(drainLimit);
+        const auto before = std::chrono::steady_clock::now();
+        for (int i = 0; i < 30; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200, fleet.send(static_cast<std::size_t>(i % 3), "POST", "/write/", "id-" + std::to_string(i)).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.servers[1]->arrivalsSince(before));
+        std::size_t ignored = 0;
+        for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+            CPPUNIT_ASSERT(fleet.isReady(node));
+            CPPUNIT_ASSERT(fleet.logLines(node, "event=registration_ignored").size() <= 10); // Once for each entry, not for each read.
+            ignored += fleet.logLines(node, "event=registration_ignored").size();
+        }
+        CPPUNIT_ASSERT(ignored > 0);
+    }
+
     void appliesConfigurationsOnAllNodesInTime()
     {
         platform_fleet fleet(4, 1);
