Bound answers without end, and check the declared length before memory is taken

Looked for because bytes that are no answer may come without end, in a head or a body. Ten such answers in a test (garbage, endless status line, fields, field, body, chunks, chunk extension, interim answers, answers to other requests, a declared length of 10^12). Found: the HTTP parser allocates a body by its declared length without looking at the limit (responses only); a length of 10^12 threw std::bad_alloc out of the event loop and ended the process. One target could end every node that asked it. Now the head is read first and its length checked. Found: each answer could take 16 MiB; ten targets that send without end filled a small VM's memory until the deadline. All answers that are being received share a quarter of the VM's memory (a setting of the platform's file); the first 64 KiB of each are free, so usual answers are received whatever others take. What exceeds it fails cleanly with 502. Ruled out by the same test: bytes reaching a caller, waiting past the request's time, connections left open, an endless tail after a complete answer. Measured: endsAnExchangeWhoseBytesNeverEnd failed with std::bad_alloc and boundsTheMemoryOfAllAnswersThatNeverEnd with 504 on the old exchange; both pass. flamingod's own client (cpp-httplib) was not examined.

--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -24,6 +24,8 @@
 /// TTL of address answers; short because any VM may disappear at any time.
 constexpr seconds addressTtl{2};
 constexpr milliseconds peerFetchTimeout{600};
+/// The answers that are being received may take this part of the memory; the rest is for requests, connections and tables.
+constexpr std::size_t answerMemoryDivisor = 4;
 /// Interval at which messages between hubs include the member list; hubs exchange messages directly and need it only to discover hubs
 /// that they miss.
 constexpr milliseconds hubMembersInterval{1000};
@@ -81,6 +83,7 @@
     result<void> start()
     {
         m_targets.setFloorShare(m_settings.floorShare);
+        m_requestProxy.setAnswerMemory(m_settings.memoryBytes / answerMemoryDivisor);
         if (!m_settings.isFirstStart) {
             m_retries.setRestartedAt(std::chrono::steady_clock::now());
         }
--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -73,6 +73,7 @@
     bool isWritten = false; ///< All bytes have been written to the socket.
     bool hasEnded = false;
     int skippedAnswers = 0;
+    std::size_t reservedBytes = 0; ///< Of options.memory.
 };
 
 exchange::exchange(asio::io_context &loop, connection_pool &pool, endpoint peer, exchange_options options)
@@ -155,20 +156,55 @@
     s.parser->body_limit(s.options.maxAnswerBytes);
     s.parser->header_limit(maxHeaderBytes);
     s.parser->skip(s.isHeadRequest);
-    http::async_read(s.socket, s.buffer, *s.parser, [self = shared_from_this()](error_code failure, std::size_t) {
-        if (self->m_state->hasEnded) {
+    // Stops after the head: the body's buffer is allocated by its declared length, which must be checked first.
+    s.parser->eager(false);
+    receiveSome();
+}
+
+void exchange::receiveSome()
+{
+    state &s = *m_state;
+    http::async_read_some(s.socket, s.buffer, *s.parser, [self = shared_from_this()](error_code failure, std::size_t) {
+        state &mine = *self->m_state;
+        if (mine.hasEnded) {
             return;
         }
         if (failure) {
             const bool isClosedByPeer = failure == asio::error::connection_reset || failure == http::error::end_of_stream
                 || failure == http::error::partial_message;
             self->fail("receive answer", failure.message(), isClosedByPeer);
-        } else {
+        } else if (self->declaredBodyBytes() > mine.options.maxAnswerBytes) {
+            self->fail("receive answer", "the answer declares a length above " + std::to_string(mine.options.maxAnswerBytes) + " bytes");
+        } else if (!self->reserveMemory()) {
+            self->fail("receive answer", "the answers that are being received take too much memory");
+        } else if (mine.parser->is_done()) {
             self->handleAnswer();
+        } else {
+            mine.parser->eager(mine.parser->is_header_done());
+            self->receiveSome();
         }
     });
 }
 
+std::uint64_t exchange::declaredBodyBytes() const
+{
+    const state &s = *m_state;
+    return s.parser->is_header_done() && !s.isHeadRequest ? s.parser->content_length().value_or(0) : 0;
+}
+
+bool exchange::reserveMemory()
+{
+    state &s = *m_state;
+    const std::size_t received = std::max<std::size_t>(declaredBodyBytes(), s.parser->get().body().size()) + s.buffer.size();
+    if (s.options.memory == nullptr || received <= answer_memory::freeBytes + s.reservedBytes) {
+        return true;
+    }
+    const std::size_t added = received - answer_memory::freeBytes - s.reservedBytes;
+    const bool isReserved = s.options.memory->reserve(added);
+    s.reservedBytes += isReserved ? added : 0;
+    return isReserved;
+}
+
 bool exchange::isAnswerToOtherRequest() const
 {
     const state &s = *m_state;
@@ -245,6 +281,9 @@
 {
     state &s = *m_state;
     s.hasEnded = true;
+    if (s.options.memory != nullptr) {
+        s.options.memory->release(s.reservedBytes);
+    }
     result.wasConnectionReused = s.idleTime.has_value();
     result.idleTime = s.idleTime.value_or(duration::zero());
     s.connectTimer.cancel();
--- a/src/flamingofield/http/exchange.hpp
+++ b/src/flamingofield/http/exchange.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/error.hpp"
+#include "http/answer_memory.hpp"
 #include "http/connection_pool.hpp"
 #include "http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -40,6 +42,7 @@
     duration maxIdleTime{}; ///< Connections that have been idle for this long are not reused; zero always opens a new one.
     std::string requestIdField; ///< Header field with the request's id; if set, answers with another id in it are skipped.
     std::size_t maxAnswerBytes = 16U << 20U;
+    std::shared_ptr<answer_memory> memory; ///< Shared by exchanges whose answers take memory together; null for no bound.
 };
 
 /// Sends one request on one connection and receives its answer. Runs on the event loop.
@@ -67,6 +70,12 @@
     void connect();
     void send();
     void receive();
+    void receiveSome();
+    /// Length that the head declares for the body, zero if there is none.
+    std::uint64_t declaredBodyBytes() const;
+    /// Reserves memory for what has been received.
+    /// @return false if the bound is reached
+    bool reserveMemory();
     void handleAnswer();
     bool isAnswerToOtherRequest() const;
     void fail(std::string_view step, const std::string &reason, bool isClosedByPeer = false);
--- a/src/flamingofield/proxy/request_proxy.cpp
+++ b/src/flamingofield/proxy/request_proxy.cpp
@@ -58,6 +58,11 @@
     m_targetsAge = age;
 }
 
+void request_proxy::setAnswerMemory(std::size_t bytes)
+{
+    m_answerMemory = std::make_shared<answer_memory>(bytes);
+}
+
 std::size_t request_proxy::inFlight() const
 {
     return m_requests.size();
@@ -221,6 +226,7 @@
     options.maxIdleTime
         = row.isIdempotent() ? duration(maxIdleForIdempotent) : m_idleLimits[row.service].maxIdleTime(maxIdleForNonIdempotent, now);
     options.requestIdField = m_names.requestId;
+    options.memory = m_answerMemory;
     row.current = std::make_shared<exchange>(m_loop, m_connections, target.entry.address, options);
     row.current->start(outboundRequest(row, target.entry, now), [this, serial = row.serial, key = target.key](exchange_result result) {
         exchangeEnded(serial, key, std::move(result));
--- a/src/flamingofield/proxy/request_proxy.hpp
+++ b/src/flamingofield/proxy/request_proxy.hpp
@@ -61,6 +61,9 @@
     void setShare(fleet_share share);
     void setTargetsAge(duration age);
 
+    /// Sets the bound on the memory of the answers that are being received; applies to later requests.
+    void setAnswerMemory(std::size_t bytes);
+
     void handle(const std::shared_ptr<pending_request> &pending);
 
     /// Answers the requests whose deadlines have passed and gives free slots to queued ones.
@@ -114,6 +117,7 @@
     outcome_window &m_outcomes;
     connection_pool &m_connections;
     proxy_metrics &m_metrics;
+    std::shared_ptr<answer_memory> m_answerMemory;
     std::shared_ptr<const active_config> m_config;
     fleet_share m_share;
     duration m_targetsAge{};
--- a/tests/proxy/request_proxy_tests.cpp
+++ b/tests/proxy/request_proxy_tests.cpp
@@ -224,6 +224,9 @@
     CPPUNIT_TEST(rejectsUnsealedAndEncodedSuccesses);
     CPPUNIT_TEST(rejectsAnUnframedAnswerWhoseConnectionIsReset);
     CPPUNIT_TEST(answersAtTheRoutesTimeout);
+    CPPUNIT_TEST(endsAnExchangeWhoseBytesNeverEnd);
+    CPPUNIT_TEST(boundsTheMemoryOfAllAnswersThatNeverEnd);
+    CPPUNIT_TEST(deliversAnAnswerThatIsFollowedByBytesWithoutEnd);
     CPPUNIT_TEST(logsWhyATargetIsSuspected);
     CPPUNIT_TEST(cancelsAnIdempotentRequestWhenItsCallerLeaves);
     CPPUNIT_TEST(completesANonIdempotentRequestWhenItsCallerLeaves);
@@ -472,6 +475,79 @@
         CPPUNIT_ASSERT_EQUAL(502, reset.await(reset.send("/write/", "id1")));
     }
 
+    static scripted_backend::script endless(const std::string &start, const std::string &repeated)
+    {
+        return [start, repeated](const backend_request &) {
+            backend_reply reply;
+            reply.bytes = start;
+            reply.endlessBytes = repeated;
+            return reply;
+        };
+    }
+
+    /// Bytes that are no answer, in a head or a body, must neither reach the caller nor keep it waiting beyond its time.
+    void endsAnExchangeWhoseBytesNeverEnd()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Seal: seal\r\n";
+        const std::vector<std::pair<std::string, std::string>> cases{
+            {"garbage", "more garbage"},
+            {"HTTP/1.1 200 ", std::string(4096, 'x')},
+            {head, "X-More: and more\r\n"},
+            {head + "X-Long: ", std::string(4096, 'x')},
+            {head + "\r\n", std::string(4096, 'x')},
+            {head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"},
+            {head + "Transfer-Encoding: chunked\r\n\r\n5;", std::string(4096, 'x')},
+            {head + "Content-Length: 1000000000000\r\n\r\n", std::string(4096, 'x')},
+            {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"},
+        };
+        for (const auto &[start, repeated] : cases) {
+            proxy_fixture fixture({endless(start, repeated)});
+            const auto sentAt = std::chrono::steady_clock::now();
+            const auto caller = fixture.send("/write/1", "r1");
+            const int status = fixture.await(caller);
+            CPPUNIT_ASSERT_MESSAGE(start + " gave " + std::to_string(status), status == 502 || status == 504);
+            CPPUNIT_ASSERT_MESSAGE(start, std::chrono::steady_clock::now() - sentAt < milliseconds(1300));
+            CPPUNIT_ASSERT(caller->received->body.find("xxxx") == std::string::npos);
+            fixture.run(milliseconds(50));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(start, 0, fixture.backends[0]->openEndlessReplies);
+        }
+    }
+
+    void boundsTheMemoryOfAllAnswersThatNeverEnd()
+    {
+        constexpr std::size_t limit = 1U << 20U;
+        std::vector<scripted_backend::script> scripts(10, endless("HTTP/1.1 200 OK\r\nX-Seal: seal\r\n\r\n", std::string(65536, 'x')));
+        proxy_fixture fixture(scripts);
+        fixture.proxyUnderTest.setAnswerMemory(limit);
+        std::vector<std::shared_ptr<fake_caller>> callers;
+        for (int i = 0; i < 20; ++i) {
+            callers.push_back(fixture.send("/write/1", "r" + std::to_string(i)));
+        }
+        for (const auto &caller : callers) {
+            CPPUNIT_ASSERT_EQUAL(502, fixture.await(caller));
+        }
+        std::size_t sent = 0;
+        for (const auto &backend : fixture.backends) {
+            sent += backend->endlessBytesSent;
+        }
+        // What is in the sockets' buffers comes on top; without the bound each answer would reach 16 MiB.
+        constexpr std::size_t socketBytes = 8U << 20U;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent < limit + 20 * (answer_memory::freeBytes + socketBytes));
+        // The memory is free again.
+        fixture.backends.clear();
+    }
+
+    void deliversAnAnswerThatIsFollowedByBytesWithoutEnd()
+    {
+        proxy_fixture fixture({endless(completeAnswer("r1"), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")});
+        const auto caller = fixture.send("/write/1", "r1");
+        CPPUNIT_ASSERT_EQUAL(200, fixture.await(caller));
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), caller->received->body);
+        fixture.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(1, caller->answers);
+    }
+
     void logsWhyATargetIsSuspected()
     {
         constexpr int usualRequests = 20;
--- a/tests/support/scripted_backend.hpp
+++ b/tests/support/scripted_backend.hpp
@@ -25,6 +25,7 @@
     bool closesConnection = false; ///< Closes the connection after the bytes.
     bool resetsConnection = false; ///< Resets the connection after the bytes.
     std::chrono::milliseconds delay{0}; ///< Delay before the reply.
+    std::string endlessBytes{}; ///< Sent after the others, again and again until the caller closes the connection.
 };
 
 using backend_request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -44,6 +45,8 @@
 
     std::vector<backend_request> requests;
     int connections = 0;
+    std::size_t endlessBytesSent = 0;
+    int openEndlessReplies = 0; ///< Connections on which endless bytes are being sent.
     int failedReads = 0; ///< Connections whose next request could not be read, usually because the peer closed them.
 
 private:
@@ -107,10 +110,29 @@
                                          client->socket.close(ignored);
                                          return;
                                      }
+                                     if (!response.endlessBytes.empty()) {
+                                         client->bytes = response.endlessBytes;
+                                         ++openEndlessReplies;
+                                         replyWithoutEnd(client);
+                                         return;
+                                     }
                                      read(client);
                                  });
     }
 
+    void replyWithoutEnd(const std::shared_ptr<connection> &client)
+    {
+        boost::asio::async_write(client->socket, boost::asio::buffer(client->bytes),
+                                 [this, client](boost::system::error_code failure, std::size_t count) {
+                                     endlessBytesSent += count;
+                                     if (failure) {
+                                         --openEndlessReplies;
+                                         return;
+                                     }
+                                     replyWithoutEnd(client);
+                                 });
+    }
+
     boost::asio::ip::tcp::acceptor m_acceptor;
     script m_reply;
 };
