Take turns at a store that fails, and after a restart of all nodes

Cause: each node behind the first six positions tried for itself, at 0.1 s and with doubling delays up to 3.2 s, so calls grow with the fleet; and after a restart each of 293 nodes read both documents 150 ms after its start, since it could not know that others did. Change: behind the first positions nodes take turns, one read each 50 ms over the fleet, whatever its size, while they hear from peers; a node that has heard none for a second reads within the limit as before. After a restart a node that knows others in line before it waits like at the first start; one that has heard of nobody waits up to 0.6 s.

--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -24,6 +24,9 @@
 /// TTL of address answers; short because any VM may disappear at any time.
 constexpr seconds addressTtl{2};
 constexpr milliseconds peerFetchTimeout{600};
+/// A node that has heard from no peer for this long depends on its own reads of the store; below the limits within which it must learn
+/// of changes.
+constexpr milliseconds peerNewsLifetime{1000};
 /// The answers that are being received may take this part of the memory; the rest is for requests, connections and tables.
 constexpr std::size_t answerMemoryDivisor = 4;
 /// Interval at which messages between hubs include the member list; hubs exchange messages directly and need it only to discover hubs
@@ -65,7 +68,7 @@
               std::move(store), [this](node_address peer, const std::string &path, auto onEnd) { fetch(peer, path, std::move(onEnd)); },
               [this](std::shared_ptr<const active_config> config) { applyConfig(std::move(config)); },
               [this](const target_snapshot &snapshot) { applyTargets(snapshot); }, m_settings.heartbeat, std::chrono::steady_clock::now(),
-              std::chrono::steady_clock::now() + reading_schedule::initialReadDelay(m_settings.isFirstStart, hashOf(m_settings.address)))
+              first_reads{m_settings.isFirstStart, hashOf(m_settings.address)})
         , m_gate(
               loop, [this] { return m_limits; }, [this](const auto &pending) { handleGate(pending); })
         , m_readiness(
@@ -150,7 +153,8 @@
             m_rolesUpdatedAt = now;
             updateRoles(now);
         }
-        m_fleetState.tick(m_readerPosition, now);
+        const bool hearsPeers = now - m_peerHeardAt < peerNewsLifetime;
+        m_fleetState.tick({m_readerPosition, hearsPeers ? m_members.liveNodes(now) : 0}, now);
         sendToPeers(now);
         if (now - m_connectionsCheckedAt >= connectionCheckInterval) {
             m_connectionsCheckedAt = now;
@@ -319,6 +323,7 @@
     {
         const instant now = std::chrono::steady_clock::now();
         const node_address sender = message.sender.address;
+        m_peerHeardAt = now;
         switch (m_members.applyMessage(message, now)) {
         case member_change::none:
             break;
@@ -477,6 +482,7 @@
     std::size_t m_readerPosition = 0;
     instant m_rolesUpdatedAt{};
     instant m_connectionsCheckedAt{};
+    instant m_peerHeardAt{}; ///< Last message of any peer.
     std::map<message_audience, instant> m_membersSentAt; ///< Last message with a member list.
     bool m_isHub = false;
     stop_sequence m_stop;
--- a/src/flamingofield/edge/fleet_state.cpp
+++ b/src/flamingofield/edge/fleet_state.cpp
@@ -26,12 +26,13 @@
 }
 
 fleet_state::fleet_state(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, milliseconds heartbeat,
-                         instant startedAt, instant firstReadAt)
+                         instant startedAt, first_reads firstReads)
     : m_store(std::move(store))
     , m_fetch(std::move(fetch))
     , m_onConfig(std::move(onConfig))
     , m_onTargets(std::move(onTargets))
-    , m_firstReadAt(firstReadAt)
+    , m_startedAt(startedAt)
+    , m_firstReads(firstReads)
     , m_configConfirmation(startedAt)
     , m_configReads(configReadIntervals)
     , m_targetsConfirmation(startedAt)
@@ -50,14 +51,22 @@
     return m_configConfirmation.age(now);
 }
 
-void fleet_state::tick(std::size_t position, instant now)
+void fleet_state::tick(const reader_place &place, instant now)
 {
-    if (now < m_firstReadAt) {
+    const std::size_t position = place.position;
+    const start_knowledge knowledge = place.nodes == 0 ? start_knowledge::alone
+        : reading_schedule::isFirstInLine(position)    ? start_knowledge::firstInLine
+                                                       : start_knowledge::behindOthers;
+    if (now < m_startedAt + reading_schedule::initialReadDelay(m_firstReads.isFirstStart, m_firstReads.seed, knowledge)) {
         return;
     }
     // A node that lacks a document reads it as often as the first reader, whatever its position.
-    m_targetReads.setPosition(position);
-    m_configReads.setPosition(position);
+    constexpr std::uint64_t steps = 1U << 20U;
+    const double fraction = static_cast<double>(m_firstReads.seed % steps) / static_cast<double>(steps);
+    for (reading_schedule *schedule : {&m_targetReads, &m_configReads}) {
+        schedule->setPosition(position);
+        schedule->setCrowd(place.nodes, fraction);
+    }
     const std::size_t targetsPosition = m_hasTargets ? position : 0;
     const std::size_t configPosition = m_config != nullptr ? position : 0;
     if (m_targetReads.isDue(targetsPosition, targetsAge(now), now)) {
--- a/src/flamingofield/edge/fleet_state.hpp
+++ b/src/flamingofield/edge/fleet_state.hpp
@@ -53,6 +53,20 @@
     std::optional<instant> m_at;
 };
 
+/// When a node that has started reads the store for the first time.
+struct first_reads
+{
+    bool isFirstStart = false; ///< The whole system starts for the first time.
+    std::uint64_t seed = 0; ///< Differs from node to node.
+};
+
+/// Place of a node among those that read the store.
+struct reader_place
+{
+    std::size_t position = 0; ///< See member_table::readerPosition(); 0 reads for the others.
+    std::size_t nodes = 0; ///< Live nodes of the fleet that this one has heard from recently or through others; zero if it hears none.
+};
+
 /// This node's copy of the configuration and the targets, which all nodes share. A few nodes read them from the store and the others
 /// fetch them from peers; a node reads the store itself when its peers have no fresh copy.
 class fleet_state
@@ -64,13 +78,12 @@
     using targets_handler = std::function<void(const target_snapshot &)>;
 
     /// @param heartbeat interval at which targets renew their registration
-    /// @param firstReadAt earliest store read; until then peers may already provide the documents
+    /// @param firstReads the first store read; until then peers may already provide the documents
     fleet_state(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, milliseconds heartbeat,
-                instant startedAt, instant firstReadAt);
+                instant startedAt, first_reads firstReads);
 
     /// Starts the reads that are due.
-    /// @param position of this node among the store readers, see member_table::readerPosition(); 0 reads for the others
-    void tick(std::size_t position, instant now);
+    void tick(const reader_place &place, instant now);
 
     /// Compares a peer's summary with the local state and fetches what is newer.
     void handlePeerSummary(node_address peer, const fleet_state_summary &peerSummary, instant now);
@@ -108,7 +121,8 @@
     peer_fetch m_fetch;
     config_handler m_onConfig;
     targets_handler m_onTargets;
-    instant m_firstReadAt;
+    instant m_startedAt;
+    first_reads m_firstReads;
     std::shared_ptr<const active_config> m_config;
     store_document m_document;
     confirmation m_configConfirmation;
--- a/src/flamingofield/store/reading_schedule.hpp
+++ b/src/flamingofield/store/reading_schedule.hpp
@@ -6,6 +6,13 @@
 
 namespace flamingofield {
 
+/// What a node without content knows of the others after its start.
+enum class start_knowledge {
+    firstInLine, ///< It is among the first that should read for the others.
+    alone, ///< It has heard of no other node.
+    behindOthers, ///< Others should read before it.
+};
+
 /// Decides when a node reads one kind of content from the store. One node of the data centre, the reader, reads at fixed intervals;
 /// the others read only if their copies have not been confirmed by a reader recently. This takes few store calls, and the other
 /// nodes do not depend on a reader that is cut off.
@@ -24,10 +31,11 @@
 
     /// Time that a node without any content waits for its peers before it reads from the store itself. The delay is short, since
     /// callers may be waiting. At the first start of the whole system there are no callers yet; then the delays are spread so that
-    /// only few nodes read early, and the others get the content from them.
+    /// only few nodes read early, and the others get the content from them. They are also spread after a restart, in which all nodes may
+    /// take part, for those that know others to read before them.
     /// @param isFirstStart true at the first start of the whole system
     /// @param seed differs from node to node
-    static milliseconds initialReadDelay(bool isFirstStart, std::uint64_t seed);
+    static milliseconds initialReadDelay(bool isFirstStart, std::uint64_t seed, start_knowledge knowledge = start_knowledge::firstInLine);
 
     explicit reading_schedule(const read_intervals &intervals)
         : m_intervals(intervals)
@@ -45,6 +53,15 @@
         m_position = position;
     }
 
+    /// Sets the number of nodes that would read besides this one, and its place among them. While the store cannot be reached by the
+    /// first positions, the others take turns, so that the store's load does not grow with the fleet.
+    /// @param nodes zero for a node that hears from no other one and depends on its own reads
+    /// @param fraction differs from node to node, at least 0 and below 1
+    void setCrowd(std::size_t nodes, double fraction);
+
+    /// True if the position is among the first, which read before all others.
+    static bool isFirstInLine(std::size_t position);
+
     /// True if no read is running and the delay after failures is over.
     bool isIdle(instant now) const
     {
@@ -61,6 +78,8 @@
 
     read_intervals m_intervals;
     std::size_t m_position = 0;
+    milliseconds m_turn{0}; ///< Additional delay of the first read of a node behind the first positions.
+    milliseconds m_round{0}; ///< Time in which all such nodes have read once.
     bool m_isRunning = false;
     int m_failures = 0;
     instant m_startedAt{};
--- a/tests/edge/fleet_state_tests.cpp
+++ b/tests/edge/fleet_state_tests.cpp
@@ -41,7 +41,7 @@
 {
     constexpr milliseconds heartbeat{1500};
     return fleet_state(
-        store.calls(), fetch, [](auto) {}, [](const auto &) {}, heartbeat, start, start);
+        store.calls(), fetch, [](auto) {}, [](const auto &) {}, heartbeat, start, {});
 }
 
 class fleet_state_tests : public CppUnit::TestFixture
@@ -56,7 +56,7 @@
     static void tickUntil(fleet_state &fleetState, instant start, milliseconds length)
     {
         for (milliseconds passed{0}; passed <= length; passed += milliseconds(50)) {
-            fleetState.tick(0, start + passed);
+            fleetState.tick({0, 3}, start + passed);
         }
     }
 
--- a/tests/store/reading_schedule_tests.cpp
+++ b/tests/store/reading_schedule_tests.cpp
@@ -25,6 +25,9 @@
     CPPUNIT_TEST(limitsCallsToAStoreThatRefusesAllNodes);
     CPPUNIT_TEST(shortensTheRetryDelayWhenThePositionBecomesLow);
     CPPUNIT_TEST(readsOnFewNodesFirstWhenAllStartAtOnce);
+    CPPUNIT_TEST(readsAtOnceAfterARestartOnlyWhereNoOtherReadsFirst);
+    CPPUNIT_TEST(takesTurnsWhileTheStoreRefusesAllNodesOfALargeFleet);
+    CPPUNIT_TEST(readsWithinTheLimitOnANodeThatHearsNoOther);
     CPPUNIT_TEST_SUITE_END();
 
     void readsAtTheReadersInterval()
@@ -75,6 +78,59 @@
         CPPUNIT_ASSERT(reading_schedule::initialReadDelay(false, 7) <= milliseconds(150));
     }
 
+    /// All nodes of a large fleet lose power and start again while callers wait.
+    void readsAtOnceAfterARestartOnlyWhereNoOtherReadsFirst()
+    {
+        constexpr int nodes = 300;
+        int early = 0;
+        for (int node = 0; node < nodes; ++node) {
+            const std::uint64_t seed = hashOf("10.1.0." + std::to_string(node));
+            CPPUNIT_ASSERT(reading_schedule::initialReadDelay(false, seed, start_knowledge::firstInLine) <= milliseconds(150));
+            CPPUNIT_ASSERT(reading_schedule::initialReadDelay(false, seed, start_knowledge::alone) <= milliseconds(600));
+            const milliseconds delay = reading_schedule::initialReadDelay(false, seed, start_knowledge::behindOthers);
+            CPPUNIT_ASSERT(delay <= milliseconds(2050));
+            early += delay <= milliseconds(500) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(early * 10 < nodes);
+    }
+
+    /// The first positions go on trying; that of the others some node tries often is enough to notice what only the first cannot reach.
+    void takesTurnsWhileTheStoreRefusesAllNodesOfALargeFleet()
+    {
+        constexpr std::size_t nodes = 300;
+        constexpr seconds outage{8};
+        std::vector<reading_schedule> schedules(nodes, reading_schedule(intervals));
+        std::vector<duration> reads;
+        for (duration passed{}; passed < outage; passed += milliseconds(10)) {
+            for (std::size_t i = 0; i < nodes; ++i) {
+                reading_schedule &schedule = schedules[i];
+                schedule.setPosition(100);
+                schedule.setCrowd(nodes, static_cast<double>(i) / nodes);
+                if (schedule.isDue(100, passed, start + passed)) {
+                    schedule.started(start + passed);
+                    schedule.failed(start + passed + milliseconds(5));
+                    reads.push_back(passed);
+                }
+            }
+        }
+        CPPUNIT_ASSERT(reads.front() <= milliseconds(1600));
+        for (std::size_t i = 1; i < reads.size(); ++i) {
+            CPPUNIT_ASSERT(reads[i] - reads[i - 1] <= milliseconds(100));
+        }
+        // The same order as the six first positions together, which call every 0.8 s.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(reads.size()), reads.size() <= 200);
+    }
+
+    void readsWithinTheLimitOnANodeThatHearsNoOther()
+    {
+        reading_schedule schedule(intervals);
+        schedule.setCrowd(300, 0.9);
+        CPPUNIT_ASSERT(!schedule.isDue(4000, milliseconds(1500), start));
+        CPPUNIT_ASSERT(schedule.isDue(2, milliseconds(1500), start));
+        schedule.setCrowd(0, 0.9);
+        CPPUNIT_ASSERT(schedule.isDue(4000, milliseconds(1500), start));
+    }
+
     /// Number of store calls of one node during an outage in which the store refuses all of them.
     static int callsDuringOutage(std::size_t position, duration outage)
     {
