--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -14,7 +14,7 @@
 constexpr int runSeconds = 100;
 /// Times in which the servers are full with work of other machines: the last part of each period.
 constexpr int fullPeriodMs = 800;
-constexpr int fullMs = 150;
+constexpr int fullMs = 100;
 constexpr int workMs = 60;
 /// Dose of garble, how "extra late", in the site file: share 0.6 of the servers, x 0.03 of their answers, for 5 s. Here one of the two
 /// servers of each service repeats one answer in 34, for 5 s in each 8 s.
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -766,7 +766,7 @@
         const std::string prefix
             = "127." + std::to_string(60 + (::getpid() + i) % 150) + "." + std::to_string(1 + (::getpid() / 150 + i) % 250) + ".";
         bool isFree = true;
-        for (const int host : {1, 2, 3, 100, 250}) {
+        for (const int host : {1, 2, 3, 6, 100, 105, 250}) {
             for (const int port : {gatePort, backend::port, store::port}) {
                 const int fd = listenOn(prefix + std::to_string(host), port);
                 isFree = isFree && fd >= 0;
