Bound what a reader holds before its parser takes it

Cause: the parser takes a head, a chunk header and a trailer only as a whole, and Beast's read operations return only when it has taken something. The bound on answers was checked between two of them; the buffer had none. Only the head has a limit of the parser's own.

Ruled out: the body (its bound held in the same test), the head, answers to other requests.

Change: the buffer has a maximum, so that the read operation itself fails. The same in every reader: answers of targets, the store and peers (one class), requests on all listeners, where a client or peer could send a chunk header or trailer without end until the request's timeout. The memory of an undeclared body is counted by its capacity.

--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -27,6 +27,9 @@
 /// Interim answers and answers to other requests that are skipped before the exchange fails.
 constexpr int maxSkippedAnswers = 3;
 constexpr std::size_t maxHeaderBytes = 64U << 10U;
+/// Bytes that are received but not parsed yet. The parser takes a head, a chunk header and a trailer only as a whole, so this bounds each
+/// of them. Beast's read operations return only when the parser has taken something, so no check between two of them would.
+constexpr std::size_t maxUnparsedBytes = maxHeaderBytes;
 
 duration keepAliveOf(std::string_view value)
 {
@@ -53,6 +56,7 @@
         , options(std::move(how))
         , socket(context)
         , connectTimer(context)
+        , buffer(maxUnparsedBytes)
     {
     }
 
@@ -169,7 +173,10 @@
         if (mine.hasEnded) {
             return;
         }
-        if (failure) {
+        if (failure == http::error::buffer_overflow) {
+            self->fail("receive answer",
+                       "a head, chunk header or trailer of the answer is longer than " + std::to_string(maxUnparsedBytes) + " bytes");
+        } else if (failure) {
             const bool isClosedByPeer = failure == asio::error::connection_reset || failure == http::error::end_of_stream
                 || failure == http::error::partial_message;
             self->fail("receive answer", failure.message(), isClosedByPeer);
@@ -195,7 +202,7 @@
 bool exchange::reserveMemory()
 {
     state &s = *m_state;
-    const std::size_t received = std::max<std::size_t>(declaredBodyBytes(), s.parser->get().body().size()) + s.buffer.size();
+    const std::size_t received = std::max<std::size_t>(declaredBodyBytes(), s.parser->get().body().capacity()) + s.buffer.size();
     if (s.options.memory == nullptr || received <= answer_memory::freeBytes + s.reservedBytes) {
         return true;
     }
--- a/src/flamingofield/http/internal/client_session.cpp
+++ b/src/flamingofield/http/internal/client_session.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
+
 namespace flamingofield {
 
 namespace asio = boost::asio;
@@ -20,6 +22,8 @@
 constexpr milliseconds lingerTimeout{1500};
 /// Time for a client to receive an answer.
 constexpr milliseconds writeTimeout{20000};
+/// Size of the reads that detect a request.
+constexpr std::size_t readSize = 8192;
 
 } // namespace
 
@@ -118,7 +122,6 @@
 
 void client_session::startRead()
 {
-    constexpr std::size_t readSize = 8192;
     if (m_isReading || m_phase == phase::closed) {
         return;
     }
@@ -151,6 +154,8 @@
     enter(phase::reading);
     m_hasHead = false;
     const client_connection_limits limits = m_owner->limits();
+    // Bounds what the parser takes only as a whole: the head, each chunk header and the trailer.
+    m_buffer.max_size(std::max(limits.headerBytes + readSize, m_buffer.size()));
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     m_parser->body_limit(limits.bodyBytes);
@@ -216,6 +221,8 @@
         refuse(431, "the header is too long");
     } else if (failure == http::error::body_limit) {
         refuse(413, "the body is too long");
+    } else if (failure == http::error::buffer_overflow) {
+        refuse(400, "a chunk header or the trailer is longer than the limit of the header");
     } else if (failure.category() == make_error_code(http::error::bad_method).category() && failure != http::error::end_of_stream
                && failure != http::error::partial_message) {
         refuse(400, "not a sound HTTP request");
--- /dev/null
+++ b/tests/http/exchange_tests.cpp
@@ -0,0 +1,109 @@
+#include "http/exchange.hpp"
+#include "support/scripted_backend.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <unistd.h>
+
+using namespace flamingofield;
+using test_support::backend_reply;
+using test_support::backend_request;
+using test_support::scripted_backend;
+
+namespace {
+
+constexpr std::uint16_t port = 7400;
+constexpr std::size_t maxAnswerBytes = 1U << 20U;
+/// Bytes that the sockets of both sides may hold beyond what the exchange has received.
+constexpr std::size_t socketBytes = 8U << 20U;
+
+/// A scripted backend server and exchanges with it on one event loop.
+class exchange_fixture
+{
+public:
+    explicit exchange_fixture(scripted_backend::script reply)
+        : address{"127." + std::to_string(30 + getpid() % 180) + ".7.1", port}
+        , backend(loop, address, std::move(reply))
+    {
+    }
+
+    /// Runs one exchange.
+    /// @return its result, or nothing if it has not ended in time
+    std::optional<exchange_result> run(const http_request_message &request, milliseconds limit = seconds(3))
+    {
+        std::optional<exchange_result> ended;
+        const auto current = std::make_shared<exchange>(loop, connections, address, options);
+        current->start(request, [&](exchange_result result) { ended = std::move(result); });
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!ended && std::chrono::steady_clock::now() < end) {
+            loop.restart();
+            loop.run_for(milliseconds(5));
+        }
+        current->cancel();
+        loop.restart();
+        loop.run_for(milliseconds(20));
+        return ended;
+    }
+
+    boost::asio::io_context loop{1};
+    endpoint address;
+    scripted_backend backend;
+    connection_pool connections;
+    exchange_options options;
+};
+
+http_request_message getRequest(const std::string &id = "r1")
+{
+    http_request_message request;
+    request.method = "GET";
+    request.target = "/";
+    request.fields.add("Host", "a.example");
+    request.fields.add("X-Id", id);
+    return request;
+}
+
+class exchange_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(exchange_tests);
+    CPPUNIT_TEST(endsBeforeAPartOfAnAnswerWithoutEndTakesTheMemory);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Guards against a node that runs out of memory while a peer of any kind sends one part of an answer without end.
+    void endsBeforeAPartOfAnAnswerWithoutEndTakesTheMemory()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string filler(65536, 'x');
+        const std::vector<std::pair<std::string, std::string>> cases{
+            {"HTTP/1.1 200 ", filler},
+            {head + "X-Long: ", filler},
+            {head, "X-More: and more\r\n"},
+            {head + "\r\n", filler},
+            {chunked + "5;", filler},
+            {chunked, std::string(65536, '0')},
+            {chunked + "5\r\nhello\r\n5;", filler},
+            {chunked + "0\r\nX-Long: ", filler},
+            {chunked + "0\r\n", "X-More: and more\r\n"},
+            {chunked, "10000\r\n" + filler + "\r\n"},
+        };
+        for (const auto &[start, repeated] : cases) {
+            exchange_fixture fixture([start = start, repeated = repeated](const backend_request &) {
+                backend_reply reply;
+                reply.bytes = start;
+                reply.endlessBytes = repeated;
+                return reply;
+            });
+            fixture.options.maxAnswerBytes = maxAnswerBytes;
+            const auto ended = fixture.run(getRequest());
+            const std::size_t sent = fixture.backend.endlessBytesSent;
+            CPPUNIT_ASSERT_MESSAGE(start + " took " + std::to_string(sent) + " bytes", sent < maxAnswerBytes + socketBytes);
+            CPPUNIT_ASSERT_MESSAGE(start, ended && ended->outcome == exchange_outcome::mayHaveRun);
+            CPPUNIT_ASSERT_EQUAL(std::string("receive answer"), ended->failure.step);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(exchange_tests);
+
+} // namespace
--- a/tests/http/listener_tests.cpp
+++ b/tests/http/listener_tests.cpp
@@ -51,6 +51,26 @@
         return received;
     }
 
+    /// Sends bytes again and again until the listener answers, the connection fails or a number of bytes is sent.
+    /// @return number of bytes sent
+    std::size_t sendWithoutEnd(const std::string &start, const std::string &repeated, std::size_t most)
+    {
+        boost::asio::write(client, boost::asio::buffer(start));
+        client.non_blocking(true);
+        std::size_t sent = 0;
+        const auto end = std::chrono::steady_clock::now() + seconds(5);
+        while (sent < most && client.available() == 0 && std::chrono::steady_clock::now() < end) {
+            boost::system::error_code failure;
+            sent += client.write_some(boost::asio::buffer(repeated), failure);
+            if (failure && failure != boost::asio::error::would_block) {
+                break;
+            }
+            loop.restart();
+            loop.run_for(milliseconds(1));
+        }
+        return sent;
+    }
+
     boost::asio::io_context loop{1};
     client_connection_limits limits;
     listener server;
@@ -69,6 +89,7 @@
     CPPUNIT_TEST(refusesAndLogsMalformedRequests);
     CPPUNIT_TEST(refusesAndLogsTooLongHeaders);
     CPPUNIT_TEST(refusesAndLogsRequestsIncompleteAtTheTimeout);
+    CPPUNIT_TEST(refusesARequestBeforeAPartWithoutEndTakesTheMemory);
     CPPUNIT_TEST(closesConnectionsAfterTheirAnswerWhileDraining);
     CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +131,31 @@
         CPPUNIT_ASSERT(log.contains(" status=408 "));
     }
 
+    /// Guards against a node that runs out of memory while a client or peer sends one part of a request without end.
+    void refusesARequestBeforeAPartWithoutEndTakesTheMemory()
+    {
+        const std::string chunked = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string filler(65536, 'x');
+        const std::vector<std::pair<std::string, std::string>> cases{
+            {"GET /", filler},
+            {"GET / HTTP/1.1\r\nHost: a\r\n", "X-More: and more\r\n"},
+            {chunked + "5;", filler},
+            {chunked, std::string(65536, '0')},
+            {chunked + "5\r\nhello\r\n5;", filler},
+            {chunked + "0\r\nX-Long: ", filler},
+            {chunked + "0\r\n", "X-More: and more\r\n"},
+        };
+        // What the sockets of both sides hold, and far below what a client can send until the request's timeout.
+        constexpr std::size_t maxSent = 16U << 20U;
+        for (const auto &[start, repeated] : cases) {
+            listener_harness harness;
+            const test_support::log_recorder log;
+            const std::size_t sent = harness.sendWithoutEnd(start, repeated, maxSent);
+            CPPUNIT_ASSERT_MESSAGE(start + " took " + std::to_string(sent) + " bytes", sent < maxSent);
+            CPPUNIT_ASSERT_MESSAGE(start, log.contains("event=bad_request"));
+        }
+    }
+
     void closesConnectionsAfterTheirAnswerWhileDraining()
     {
         listener_harness harness;
