Never send a request on a connection that has carried it

Cause: after a refusal the request may go to the same server again, on the same kept connection. The server's repeated refusal bears the id of the request that is waiting, so that it counts as the answer to the second send.

Ruled out: answers to other requests (told apart by their id), retries after an outcome that is unknown (none seen in the records of the case).

Change: connections remember the hashes of the ids sent on them, the pool passes over those that carried the id, and a connection is closed after 256 requests. This covers retries, idempotent ones included, and clients that use an id twice. An answer without an id, which could belong to any request, is skipped on a reused connection; a connection that began with one isn't kept. doesNotReuseConnectionsIdleForAsLongAsDroppedOnes sent five requests with one id, for which a new connection is right now; it uses five ids, with the same assertions.

--- a/src/flamingofield/http/connection_pool.cpp
+++ b/src/flamingofield/http/connection_pool.cpp
@@ -32,33 +32,41 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
-void connection_pool::put(const std::string &key, tcp_socket socket, duration keepAliveTime, instant now)
+void connection_pool::put(const std::string &key, peer_connection connection, duration keepAliveTime, instant now)
 {
+    if (connection.sentRequests.size() >= maxRequestsPerConnection) {
+        return;
+    }
     auto &idle = m_idle[key];
     if (idle.size() >= maxIdlePerKey) {
         idle.erase(idle.begin());
     }
-    idle.push_back({std::move(socket), now, now + keepAliveTime});
+    idle.push_back({std::move(connection), now, now + keepAliveTime});
 }
 
-std::optional<duration> connection_pool::take(const std::string &key, duration maxIdleTime, instant now, tcp_socket &socket)
+std::optional<duration> connection_pool::take(const std::string &key, duration maxIdleTime, std::optional<std::uint64_t> request,
+                                              instant now, peer_connection &connection)
 {
     const auto found = m_idle.find(key);
     if (found == m_idle.end()) {
         return std::nullopt;
     }
     auto &idle = found->second;
-    while (!idle.empty()) {
-        idle_connection &last = idle.back();
-        if (now - last.idleSince >= maxIdleTime) {
+    for (auto position = idle.end(); position != idle.begin();) {
+        --position;
+        const duration idleTime = now - position->idleSince;
+        if (idleTime >= maxIdleTime) {
             return std::nullopt; // All others have been idle for longer.
         }
-        const duration idleTime = now - last.idleSince;
-        const bool isUsable = now < last.usableUntil && !hasPendingInput(last.socket);
+        const auto &sent = position->connection.sentRequests;
+        if (request && std::find(sent.begin(), sent.end(), *request) != sent.end()) {
+            continue;
+        }
+        const bool isUsable = now < position->usableUntil && !hasPendingInput(position->connection.socket);
         if (isUsable) {
-            socket = std::move(last.socket);
+            connection = std::move(position->connection);
         }
-        idle.pop_back();
+        position = idle.erase(position);
         if (isUsable) {
             return idleTime;
         }
--- a/src/flamingofield/http/connection_pool.hpp
+++ b/src/flamingofield/http/connection_pool.hpp
@@ -3,6 +3,7 @@
 #include "core/endpoint.hpp"
 #include "core/time.hpp"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
@@ -15,17 +16,38 @@
 
 using tcp_socket = boost::asio::ip::tcp::socket;
 
+/// An open connection and the requests that were sent on it.
+struct peer_connection
+{
+    explicit peer_connection(boost::asio::io_context &loop)
+        : socket(loop)
+    {
+    }
+
+    tcp_socket socket;
+    std::vector<std::uint64_t> sentRequests; ///< Hashes of the ids of requests with an id.
+};
+
 /// Pool of idle connections, by a key that identifies the process behind the address.
+///
+/// A peer in trouble may send an earlier answer on a connection once more, where the answer to the next request is due. Only the
+/// request's id tells them apart, so a connection is never reused for a request that it has carried.
 class connection_pool
 {
 public:
+    /// Requests with an id after which a connection is closed, which bounds the memory of their ids.
+    static constexpr std::size_t maxRequestsPerConnection = 256;
+
     /// Adds an idle connection; at the limit for its key, the oldest one is closed.
     /// @param keepAliveTime time from now for which it may be reused
-    void put(const std::string &key, tcp_socket socket, duration keepAliveTime, instant now);
+    void put(const std::string &key, peer_connection connection, duration keepAliveTime, instant now);
 
-    /// Takes the most recently used connection that has been idle for less than a bound and has no byte to read.
+    /// Takes the most recently used connection that has been idle for less than a bound, has no byte to read and has not carried a
+    /// request.
+    /// @param request hash of the id of the request to be sent; nothing if it has none
     /// @return how long the connection was idle, or nothing if there is none
-    std::optional<duration> take(const std::string &key, duration maxIdleTime, instant now, tcp_socket &socket);
+    std::optional<duration> take(const std::string &key, duration maxIdleTime, std::optional<std::uint64_t> request, instant now,
+                                 peer_connection &connection);
 
     /// Closes all connections of a key, as after one of them failed.
     void closeAll(const std::string &key);
@@ -38,7 +60,7 @@
 private:
     struct idle_connection
     {
-        tcp_socket socket;
+        peer_connection connection;
         instant idleSince{};
         instant usableUntil{};
     };
--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -1,5 +1,7 @@
 #include "http/exchange.hpp"
 
+#include "core/hash.hpp"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -54,7 +56,7 @@
         , pool(idle)
         , peer(std::move(to))
         , options(std::move(how))
-        , socket(context)
+        , connection(context)
         , connectTimer(context)
         , buffer(maxUnparsedBytes)
     {
@@ -64,7 +66,7 @@
     connection_pool &pool;
     endpoint peer;
     exchange_options options;
-    tcp_socket socket;
+    peer_connection connection;
     asio::steady_timer connectTimer;
     boost::beast::flat_buffer buffer;
     std::optional<response_parser> parser;
@@ -96,7 +98,11 @@
     if (!s.options.requestIdField.empty()) {
         s.requestId = request.fields.value(s.options.requestIdField);
     }
-    s.idleTime = s.pool.take(s.options.poolKey, s.options.maxIdleTime, std::chrono::steady_clock::now(), s.socket);
+    const auto requestHash = s.requestId.empty() ? std::nullopt : std::optional<std::uint64_t>(hashOf(s.requestId));
+    s.idleTime = s.pool.take(s.options.poolKey, s.options.maxIdleTime, requestHash, std::chrono::steady_clock::now(), s.connection);
+    if (requestHash) {
+        s.connection.sentRequests.push_back(*requestHash);
+    }
     if (s.idleTime) {
         asio::post(s.loop, [self = shared_from_this()] { self->send(); });
     } else {
@@ -110,20 +116,20 @@
     error_code failure;
     const auto address = asio::ip::make_address_v4(s.peer.host, failure);
     if (!failure) {
-        s.socket.open(asio::ip::tcp::v4(), failure);
+        s.connection.socket.open(asio::ip::tcp::v4(), failure);
     }
     if (failure) {
         asio::post(s.loop, [self = shared_from_this(), failure] { self->fail("open connection", failure.message()); });
         return;
     }
-    setSocketOptions(s.socket, s.options.unacknowledgedTimeout);
+    setSocketOptions(s.connection.socket, s.options.unacknowledgedTimeout);
     s.connectTimer.expires_after(s.options.connectTimeout);
     s.connectTimer.async_wait([self = shared_from_this()](error_code aborted) {
         if (!aborted) {
             self->fail("connect", "no connection within " + std::to_string(self->m_state->options.connectTimeout.count()) + " ms");
         }
     });
-    s.socket.async_connect({address, s.peer.port}, [self = shared_from_this()](error_code refused) {
+    s.connection.socket.async_connect({address, s.peer.port}, [self = shared_from_this()](error_code refused) {
         self->m_state->connectTimer.cancel();
         if (refused) {
             self->fail("connect", refused.message());
@@ -142,7 +148,7 @@
     s.hasStartedSending = true;
     // Receives while sending, as a peer may refuse a long body before it has read all of it.
     receive();
-    asio::async_write(s.socket, asio::buffer(s.bytes), [self = shared_from_this()](error_code failure, std::size_t written) {
+    asio::async_write(s.connection.socket, asio::buffer(s.bytes), [self = shared_from_this()](error_code failure, std::size_t written) {
         state &mine = *self->m_state;
         mine.isWritten = !failure;
         if (failure && !mine.hasEnded && written == 0) {
@@ -168,7 +174,7 @@
 void exchange::receiveSome()
 {
     state &s = *m_state;
-    http::async_read_some(s.socket, s.buffer, *s.parser, [self = shared_from_this()](error_code failure, std::size_t) {
+    http::async_read_some(s.connection.socket, s.buffer, *s.parser, [self = shared_from_this()](error_code failure, std::size_t) {
         state &mine = *self->m_state;
         if (mine.hasEnded) {
             return;
@@ -220,7 +226,11 @@
     }
     const auto &fields = s.parser->get();
     const auto found = fields.find(s.options.requestIdField);
-    return found != fields.end() && std::string_view(found->value().data(), found->value().size()) != s.requestId;
+    if (found == fields.end()) {
+        // On a new connection, no other request can have been answered.
+        return s.idleTime.has_value();
+    }
+    return std::string_view(found->value().data(), found->value().size()) != s.requestId;
 }
 
 void exchange::handleAnswer()
@@ -246,11 +256,12 @@
         result.answer.fields.add({name.data(), name.size()}, {value.data(), value.size()});
     }
     result.answer.body = std::move(message.body());
-    const bool isReusable = message.keep_alive() && s.isWritten && s.buffer.size() == 0 && s.skippedAnswers == 0;
+    const bool namesRequest = s.requestId.empty() || result.answer.fields.has(s.options.requestIdField);
+    const bool isReusable = message.keep_alive() && s.isWritten && s.buffer.size() == 0 && s.skippedAnswers == 0 && namesRequest;
     if (isReusable) {
         const duration keepAliveTime = keepAliveOf(result.answer.fields.value("Keep-Alive"));
         if (keepAliveTime > duration::zero()) {
-            s.pool.put(s.options.poolKey, std::move(s.socket), keepAliveTime, std::chrono::steady_clock::now());
+            s.pool.put(s.options.poolKey, std::move(s.connection), keepAliveTime, std::chrono::steady_clock::now());
         }
     }
     end(std::move(result));
@@ -295,7 +306,7 @@
     result.idleTime = s.idleTime.value_or(duration::zero());
     s.connectTimer.cancel();
     error_code ignored; // The socket is discarded in any case.
-    s.socket.close(ignored);
+    s.connection.socket.close(ignored);
     asio::post(s.loop, [onEnd = std::move(s.onEnd), ended = std::move(result)]() mutable { onEnd(std::move(ended)); });
 }
 
--- a/src/flamingofield/http/exchange.hpp
+++ b/src/flamingofield/http/exchange.hpp
@@ -40,7 +40,10 @@
     milliseconds connectTimeout{400};
     milliseconds unacknowledgedTimeout{1500}; ///< The kernel ends the connection when sent bytes stay unacknowledged for this long.
     duration maxIdleTime{}; ///< Connections that have been idle for this long are not reused; zero always opens a new one.
-    std::string requestIdField; ///< Header field with the request's id; if set, answers with another id in it are skipped.
+    /// Header field with the request's id, which the peer repeats in its answer. If set, answers with another id are skipped, on a reused
+    /// connection also those without one, a connection whose answer has none is not reused, and no request is sent on a connection that
+    /// has carried its id.
+    std::string requestIdField;
     std::size_t maxAnswerBytes = 16U << 20U;
     std::shared_ptr<answer_memory> memory; ///< Shared by exchanges whose answers take memory together; null for no bound.
 };
@@ -77,6 +80,7 @@
     /// @return false if the bound is reached
     bool reserveMemory();
     void handleAnswer();
+    /// True if the answer belongs, or may belong, to an earlier request on the connection.
     bool isAnswerToOtherRequest() const;
     void fail(std::string_view step, const std::string &reason, bool isClosedByPeer = false);
     void end(exchange_result result);
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -38,11 +38,14 @@
         const auto end = std::chrono::steady_clock::now() + limit;
         while (!ended && std::chrono::steady_clock::now() < end) {
             loop.restart();
-            loop.run_for(milliseconds(5));
+            loop.run_one_for(milliseconds(5));
+        }
+        if (!ended) {
+            current->cancel();
+            loop.restart();
+            loop.run_for(milliseconds(20));
+            ended.reset();
         }
-        current->cancel();
-        loop.restart();
-        loop.run_for(milliseconds(20));
         return ended;
     }
 
@@ -67,8 +70,47 @@
 {
     CPPUNIT_TEST_SUITE(exchange_tests);
     CPPUNIT_TEST(endsBeforeAPartOfAnAnswerWithoutEndTakesTheMemory);
+    CPPUNIT_TEST(sendsARequestAgainOnAConnectionThatHasNotCarriedIt);
+    CPPUNIT_TEST(reusesAConnectionForABoundedNumberOfRequests);
     CPPUNIT_TEST_SUITE_END();
 
+    static backend_reply answerWithId(const backend_request &request)
+    {
+        return {"HTTP/1.1 200 OK\r\nX-Id: " + std::string(request["X-Id"]) + "\r\nContent-Length: 0\r\n\r\n", false, false};
+    }
+
+    void sendsARequestAgainOnAConnectionThatHasNotCarriedIt()
+    {
+        exchange_fixture fixture(answerWithId);
+        fixture.options.requestIdField = "X-Id";
+        fixture.options.maxIdleTime = seconds(10);
+        const auto connectionsAfter = [&](const std::string &id) {
+            const auto ended = fixture.run(getRequest(id));
+            CPPUNIT_ASSERT(ended && ended->outcome == exchange_outcome::answered);
+            return fixture.backend.connections;
+        };
+        CPPUNIT_ASSERT_EQUAL(1, connectionsAfter("r1"));
+        CPPUNIT_ASSERT_EQUAL(1, connectionsAfter("r2"));
+        CPPUNIT_ASSERT_EQUAL(2, connectionsAfter("r1"));
+        CPPUNIT_ASSERT_EQUAL(2, connectionsAfter("r2"));
+        CPPUNIT_ASSERT_EQUAL(2, connectionsAfter("r3"));
+        // Both have carried it by now.
+        CPPUNIT_ASSERT_EQUAL(3, connectionsAfter("r2"));
+    }
+
+    void reusesAConnectionForABoundedNumberOfRequests()
+    {
+        exchange_fixture fixture(answerWithId);
+        fixture.options.requestIdField = "X-Id";
+        fixture.options.maxIdleTime = seconds(10);
+        for (std::size_t i = 0; i < connection_pool::maxRequestsPerConnection; ++i) {
+            fixture.run(getRequest("r" + std::to_string(i)));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, fixture.backend.connections);
+        fixture.run(getRequest("next"));
+        CPPUNIT_ASSERT_EQUAL(2, fixture.backend.connections);
+    }
+
     /// Guards against a node that runs out of memory while a peer of any kind sends one part of an answer without end.
     void endsBeforeAPartOfAnAnswerWithoutEndTakesTheMemory()
     {
--- a/tests/proxy/request_proxy_tests.cpp
+++ b/tests/proxy/request_proxy_tests.cpp
@@ -185,6 +185,10 @@
 {
     return {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false, false};
 }
+backend_reply shedWithId(const backend_request &request)
+{
+    return {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Id: " + idOf(request) + "\r\nContent-Length: 0\r\n\r\n", false, false};
+}
 backend_reply serveWhileLeaving(const backend_request &request)
 {
     const std::string body = "done";
@@ -221,6 +225,8 @@
     CPPUNIT_TEST(ignoresAndLogsAnUnreadableRetryAfterOfATarget);
     CPPUNIT_TEST(forwardsTheErrorAnswerOfATargetUnchanged);
     CPPUNIT_TEST(rejectsTheAnswerOfAnotherRequest);
+    CPPUNIT_TEST(doesNotTakeARepeatedAnswerForTheAnswerToTheNextAttempt);
+    CPPUNIT_TEST(doesNotTakeAnAnswerWithoutIdForTheAnswerToALaterRequest);
     CPPUNIT_TEST(rejectsUnsealedAndEncodedSuccesses);
     CPPUNIT_TEST(rejectsAnUnframedAnswerWhoseConnectionIsReset);
     CPPUNIT_TEST(answersAtTheRoutesTimeout);
@@ -332,13 +338,14 @@
             return ++calls % 2 == 0 && calls <= 4 ? backend_reply{"", false, true, {}} : serve(request);
         };
         proxy_fixture b({everySecondIsReset});
+        int number = 0;
         for (const int expected : {200, 502, 200, 502, 200}) {
             b.run(milliseconds(150));
-            CPPUNIT_ASSERT_EQUAL(expected, b.await(b.send("/write/", "id")));
+            CPPUNIT_ASSERT_EQUAL(expected, b.await(b.send("/write/", "id" + std::to_string(++number))));
         }
         CPPUNIT_ASSERT_EQUAL(3, b.backends[0]->connections);
         b.run(milliseconds(200));
-        CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "id")));
+        CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "last")));
         CPPUNIT_ASSERT_EQUAL(4, b.backends[0]->connections);
     }
 
@@ -450,6 +457,41 @@
         CPPUNIT_ASSERT_EQUAL(2, b.backends[0]->connections);
     }
 
+    /// Guards against a refusal or failure that a target sends once more, late, and that is taken for the answer to the second attempt of
+    /// the same request: the request runs again, or its caller learns that it did not run.
+    void doesNotTakeARepeatedAnswerForTheAnswerToTheNextAttempt()
+    {
+        for (const auto &[path, first] : std::vector<std::pair<std::string, scripted_backend::script>>{
+                 {"/write/", shedWithId}, {"/read/", shedWithId}, {"/read/", fail}}) {
+            const scripted_backend *backend = nullptr;
+            const auto repeatsFirst = [&backend, first = first](const backend_request &request) {
+                if (backend->requests.size() == 1) {
+                    return first(request);
+                }
+                const std::string repeated = backend->connections == 1 ? first(request).bytes : "";
+                return backend_reply{repeated + completeAnswer(idOf(request)), false, false};
+            };
+            proxy_fixture fixture({repeatsFirst});
+            backend = fixture.backends[0].get();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 200, fixture.await(fixture.send(path, "id1")));
+            fixture.run(milliseconds(100));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t(2), fixture.arrivals());
+        }
+    }
+
+    /// Guards against an answer that cannot be told from one to an earlier request and passes for a refusal of the current one.
+    void doesNotTakeAnAnswerWithoutIdForTheAnswerToALaterRequest()
+    {
+        int calls = 0;
+        proxy_fixture fixture({[&](const backend_request &request) {
+            return ++calls == 2 ? backend_reply{shed(request).bytes + completeAnswer(idOf(request)), false, false} : serve(request);
+        }});
+        CPPUNIT_ASSERT_EQUAL(200, fixture.await(fixture.send("/write/", "id1")));
+        CPPUNIT_ASSERT_EQUAL(200, fixture.await(fixture.send("/write/", "id2")));
+        fixture.run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.arrivals());
+    }
+
     void rejectsUnsealedAndEncodedSuccesses()
     {
         const auto unsealed = [](const backend_request &request) {
