Forward each path on the clients' address that a route covers

Cause: the clients' address answered readiness calls before any route was looked up, although readiness has an address of its own.

Ruled out: the other paths of the node's interface (directory, traffic between nodes, metrics): the same test sends them to the clients' address, and they were forwarded before, too.

Change: with an address for readiness, the clients' address has no path of its own; without one, a route comes before the readiness call.

--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -94,7 +94,7 @@
         BOOST_OUTCOME_TRYV(m_mesh.start(mesh));
         BOOST_OUTCOME_TRYV(m_peers.start(mesh));
         BOOST_OUTCOME_TRYV(m_gate.start(m_settings.gate));
-        if (m_settings.readiness.port != 0 && !(m_settings.readiness == m_settings.gate)) {
+        if (hasReadinessAddress()) {
             BOOST_OUTCOME_TRYV(m_readiness.start(m_settings.readiness));
         }
         if (m_settings.directory.port != 0) {
@@ -401,9 +401,16 @@
         m_members.makeAllMessagesDue();
     }
 
+    /// Readiness has an address of its own; if the settings name none, it shares the callers' address, where routes come first.
+    bool hasReadinessAddress() const
+    {
+        return m_settings.readiness.port != 0 && !(m_settings.readiness == m_settings.gate);
+    }
+
     void handleGate(const std::shared_ptr<pending_request> &pending)
     {
-        if (m_interface.isReadinessCall(pending->request())) {
+        const http_request_message &request = pending->request();
+        if (!hasReadinessAddress() && m_interface.isReadinessCall(request) && !m_requestProxy.hasRoute(request)) {
             handleReadiness(pending);
         } else {
             m_requestProxy.handle(pending);
--- a/src/flamingofield/proxy/request_proxy.cpp
+++ b/src/flamingofield/proxy/request_proxy.cpp
@@ -115,6 +115,11 @@
     admit(row, now);
 }
 
+bool request_proxy::hasRoute(const http_request_message &request) const
+{
+    return m_config != nullptr && m_config->router.match(request.fields.value("Host"), request.target) != nullptr;
+}
+
 duration request_proxy::meanServiceTimeOf(const request_row &row) const
 {
     return m_serviceTimes.mean(row.route->name);
--- a/src/flamingofield/proxy/request_proxy.hpp
+++ b/src/flamingofield/proxy/request_proxy.hpp
@@ -66,6 +66,9 @@
 
     void handle(const std::shared_ptr<pending_request> &pending);
 
+    /// True if the current configuration has a route for the request's host and path.
+    bool hasRoute(const http_request_message &request) const;
+
     /// Answers the requests whose deadlines have passed and gives free slots to queued ones.
     void tick(instant now);
 
--- a/tests/system/platform_tests.cpp
+++ b/tests/system/platform_tests.cpp
@@ -27,6 +27,7 @@
 {
     CPPUNIT_TEST_SUITE(platform_tests);
     CPPUNIT_TEST(servesARequestFromEndToEnd);
+    CPPUNIT_TEST(forwardsPathsOfItsOwnInterfaceThatARouteCovers);
     CPPUNIT_TEST(returnsAddressesOfReadyNodes);
     CPPUNIT_TEST(runsUnsafeRequestsOnceWhenAnswersAreLost);
     CPPUNIT_TEST(sendsNothingToADrainingTargetAfterTheDrainTime);
@@ -55,6 +56,32 @@
         CPPUNIT_ASSERT_EQUAL(404, fleet.send(1, "GET", "/nowhere/", "id-2").status);
     }
 
+    /// Guards against a node that answers a client's request itself because its path is that of a call to the node.
+    void forwardsPathsOfItsOwnInterfaceThatARouteCovers()
+    {
+        platform_fleet fleet(2, 1);
+        CPPUNIT_ASSERT(fleet.start());
+        int requests = 0;
+        const auto send = [&](const std::string &method, const std::string &path) {
+            return fleet.send(0, method, path, "id-" + std::to_string(++requests));
+        };
+        // Without a route, no path on the callers' address is the node's own.
+        CPPUNIT_ASSERT_EQUAL(404, send("GET", "/api/readiness").status);
+        fleet.publish(2, {"/api/", "/mesh/", "/metrics/"});
+        CPPUNIT_ASSERT(awaitTrue([&] { return send("GET", "/api/other").status == 200; }, applyLimit));
+        for (const std::string path : {"/api/readiness", "/api/readiness?x=1", "/api/resolve?name=shop.example&region=r&zone=dc-a",
+                                       "/mesh/config", "/mesh/targets", "/metrics/"}) {
+            for (const std::string method : {"GET", "POST", "HEAD"}) {
+                const auto answer = send(method, path);
+                const std::string what = method + " " + path;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 200, answer.status);
+                CPPUNIT_ASSERT_MESSAGE(what, answer.fields.has(platform_fleet::sealField));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 1, fleet.runsOf("id-" + std::to_string(requests)));
+            }
+        }
+        CPPUNIT_ASSERT(fleet.isReady(0));
+    }
+
     void returnsAddressesOfReadyNodes()
     {
         platform_fleet fleet(4, 1);
