Soak: clients that keep one connection, of the sizes and kinds of a site

Cause: the soak could not see a lost request: it checked lost requests around planned stops alone, its callers are the product's own exchange with small bodies, one service, and behind a fault proxy that takes up what a client does not read.

Change: a second kind of clients, on plain sockets and straight to the nodes' addresses. Each keeps its connection until the node closes it; kinds, sizes and times are those of the users' site; some read slowly, and ask for large answers. The stand-in of a server works and answers as the request's query says; a fleet has several services.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "report/log.hpp"
 #include "soak/soak_callers.hpp"
 #include "soak/soak_checks.hpp"
+#include "soak/soak_connections.hpp"
 #include "soak/soak_injector.hpp"
 #include "test_deployment.hpp"
 
@@ -14,7 +15,7 @@
 
 constexpr int usageError = 2;
 
-/// Size of a run; the defaults start 6 node processes, 6 backend servers and 24 caller threads.
+/// Size of a run; the defaults start 6 node processes, 6 backend servers and 64 threads of callers.
 struct soak_options
 {
     std::uint64_t seed = 1;
@@ -22,7 +23,10 @@
     int seconds = 20;
     int nodes = 6;
     int servers = 6;
+    int services = 2;
     std::size_t callers = 24;
+    std::size_t connections = 40;
+    bool hasOnlyPlannedChanges = false;
 };
 
 /// Time within which all nodes must serve again after the last fault.
@@ -42,17 +46,20 @@
 /// @return number of contract violations
 std::size_t runWithSeed(const soak_options &options, std::uint64_t seed)
 {
-    platform_standins::platform_fleet fleet(options.nodes, options.servers, true);
+    platform_standins::platform_fleet fleet(options.nodes, options.servers, true, options.services);
     if (!fleet.start()) {
         std::cout << "seed " << seed << ": the fleet did not start\n";
         return 1;
     }
     std::atomic<int> newestVersion{soak::firstVersion};
     soak::injector faults(fleet, seed, newestVersion);
+    const bool hasOnlyPlannedChanges = faults.drawOnlyPlannedChanges();
     soak::callers callers(fleet, options.callers, seed, newestVersion);
-    faults.run(std::chrono::seconds(options.seconds));
+    soak::kept_connections connections(fleet, options.connections, seed);
+    faults.run(std::chrono::seconds(options.seconds), options.hasOnlyPlannedChanges || hasOnlyPlannedChanges);
     soak::run_record run;
     run.calls = callers.stop();
+    run.requests = connections.stop();
     run.processes = faults.processes();
     run.changes = faults.changes();
     auto violations = soak::contractViolations(run, faults.disturbances(), fleet);
@@ -60,8 +67,11 @@
         violations.emplace_back("not all nodes served again in time after the last fault");
     }
     const auto served = std::count_if(run.calls.begin(), run.calls.end(), [](const auto &call) { return call.status == 200; });
-    std::cout << "seed " << seed << ": " << run.calls.size() << " requests, " << served << " served, " << faults.history().size()
-              << " faults, " << violations.size() << " contract violations\n";
+    const auto answered
+        = std::count_if(run.requests.begin(), run.requests.end(), [](const auto &request) { return request.status == 200; });
+    std::cout << "seed " << seed << ": " << run.calls.size() << " requests, " << served << " served, " << run.requests.size()
+              << " on kept connections, " << answered << " served, " << faults.history().size() << " faults, " << violations.size()
+              << " contract violations\n";
     for (const auto &line : violations) {
         std::cout << "  " << line << "\n";
     }
@@ -89,7 +99,11 @@
         "seeds", po::value(&options.seeds), "number of seeds, one run each")("seconds", po::value(&options.seconds),
                                                                              "seconds of fault injection in each run")(
         "nodes", po::value(&options.nodes), "number of entry nodes")("servers", po::value(&options.servers), "number of backend servers")(
-        "callers", po::value(&options.callers), "number of callers, each with its own connections");
+        "services", po::value(&options.services), "number of services that share the servers")(
+        "callers", po::value(&options.callers), "number of callers, each with its own connections")(
+        "connections", po::value(&options.connections),
+        "number of clients that keep one connection each")("planned", po::bool_switch(&options.hasOnlyPlannedChanges),
+                                                           "planned changes only: stops, reloads, configurations, leaving servers");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, description), values);
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds responseLimit{2500 + 500};
 /// In the last sixth of the grace period, a node may interrupt requests.
 constexpr milliseconds forcedStopPeriod{1000};
+/// A request may end without an answer if the node closes the connection within this time after its last byte.
+constexpr milliseconds lossSlack{200};
 
 /// Recorded run, with the queries that the checks share.
 struct run_view
@@ -170,6 +172,63 @@
     }
 }
 
+std::string describe(const connection_record &request, int runs)
+{
+    static const std::map<connection_end, std::string> ends{{connection_end::answered, "answered"},
+                                                            {connection_end::closed, "closed"},
+                                                            {connection_end::reset, "reset"},
+                                                            {connection_end::malformed, "malformed"},
+                                                            {connection_end::gaveUp, "no end"}};
+    return request.id + " at node " + std::to_string(request.node) + ", " + ends.at(request.end) + " after "
+        + std::to_string(flamingofield::toMilliseconds(request.endedAt - request.sentAt)) + " ms and "
+        + std::to_string(request.receivedBytes) + " bytes, status " + std::to_string(request.status) + ", work "
+        + std::to_string(request.workTime.count()) + " ms, answer " + std::to_string(request.answerBytes) + " bytes, runs "
+        + std::to_string(runs) + (request.isKept ? ", kept connection" : "");
+}
+
+/// A request that was read ends with a complete answer, also around planned stops, and no run is broken off for an answer of the node's
+/// own. Allowed: a close that crosses a request, an answer that its client has not read by its deadline, and a stop's last sixth of the
+/// grace period for requests of its first three seconds.
+void checkNothingIsLost(const run_view &view, const connection_record &request, std::vector<std::string> &violations)
+{
+    const instant from = request.sentAt - stableWindow;
+    if (!view.isProcessUndisturbed(request.node, from, request.endedAt)) {
+        return;
+    }
+    const int runs = view.runsOf(request.id);
+    bool isStopped = false;
+    bool isForced = false;
+    for (const auto &event : view.run.processes) {
+        if (event.isPlannedStop && event.node == request.node && request.endedAt > event.at && request.sentAt < event.at + gracePeriod) {
+            isStopped = true;
+            isForced = isForced || (request.sentAt < event.at + seconds(3) && request.endedAt > event.at + gracePeriod - forcedStopPeriod);
+        }
+    }
+    const bool isAnswered = request.end == connection_end::answered;
+    const bool crossesClose = !isAnswered && runs == 0 && request.endedAt - request.sentAt <= lossSlack;
+    const bool isOverdue = request.endedAt - request.sentAt > request.deadline && request.receivedBytes > 0;
+    if (!isAnswered && !crossesClose && !isForced && !isOverdue) {
+        violations.push_back("ended without a complete answer" + std::string(isStopped ? " around a planned stop: " : ": ")
+                             + describe(request, runs));
+    }
+    const bool hasServersAnswer = isAnswered && request.hasSeal && request.status == 200;
+    if (hasServersAnswer && request.bodyBytes < request.answerBytes) {
+        violations.push_back("success with a shorter body than the server's: " + describe(request, runs));
+    }
+    const bool isBrokenOff = isAnswered && !request.hasSeal && runs > 0 && isStopped && !isForced
+        && request.endedAt - request.sentAt < std::min<duration>(request.workTime, request.deadline)
+        && !view.disturbances.isAnyDisturbed(subject_kind::server, from, request.endedAt);
+    if (isBrokenOff) {
+        violations.push_back("a run was broken off by a planned stop: " + describe(request, runs));
+    }
+    if (isAnswered && !request.isIdempotent && runs > 1) {
+        violations.push_back("ran " + std::to_string(runs) + " times: " + describe(request, runs));
+    }
+    if (isAnswered && !request.isIdempotent && runs > 0 && statesNotRun(request.status)) {
+        violations.push_back("ran although the answer says that it did not: " + describe(request, runs));
+    }
+}
+
 } // namespace
 
 std::string pathOfVersion(int version)
@@ -196,6 +255,9 @@
         checkDraining(view, fleet, call, violations);
         checkPlannedStops(view, call, violations);
     }
+    for (const auto &request : run.requests) {
+        checkNothingIsLost(view, request, violations);
+    }
     return violations;
 }
 
--- a/tests/soak/soak_injector.cpp
+++ b/tests/soak/soak_injector.cpp
@@ -34,7 +34,7 @@
     m_newestVersion = firstVersion;
 }
 
-void injector::run(milliseconds length)
+void injector::run(milliseconds length, bool hasOnlyPlannedChanges)
 {
     // Faults that are listed several times are injected more often.
     static const std::vector<fault> faults{&injector::killNode,          &injector::killNode,          &injector::killAllNodes,
@@ -47,8 +47,6 @@
     m_startedAt = std::chrono::steady_clock::now();
     const instant end = m_startedAt + length;
     instant nextFault = m_startedAt;
-    // One in four runs has planned changes only, so that the checks that need an undisturbed fleet find cases.
-    const bool hasOnlyPlannedChanges = randomBelow(4) == 0;
     static const std::vector<fault> plannedChanges{&injector::stopNode, &injector::reloadNode, &injector::publishVersion,
                                                    &injector::drainServer};
     for (instant now = m_startedAt; now < end; now = std::chrono::steady_clock::now()) {
--- a/tests/soak/soak_injector.hpp
+++ b/tests/soak/soak_injector.hpp
@@ -21,7 +21,14 @@
     injector(platform_standins::platform_fleet &fleet, std::uint64_t seed, std::atomic<int> &newestVersion);
 
     /// Injects faults for a time, then waits until all of them have ended.
-    void run(std::chrono::milliseconds length);
+    /// @param hasOnlyPlannedChanges stops, reloads, configurations and leaving servers only
+    void run(std::chrono::milliseconds length, bool hasOnlyPlannedChanges);
+
+    /// One in four runs has planned changes only, so that the checks that need an undisturbed fleet find cases.
+    bool drawOnlyPlannedChanges()
+    {
+        return randomBelow(4) == 0;
+    }
 
     const disturbance_log &disturbances() const
     {
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -92,9 +92,38 @@
     std::string problem; ///< Why there was no complete answer.
 };
 
+/// How a client's wait for an answer ended.
+enum class connection_end {
+    answered, ///< A complete answer.
+    closed, ///< The node closed the connection.
+    reset, ///< The node reset the connection, or it could not take the request.
+    malformed, ///< Bytes that are no answer.
+    gaveUp, ///< Nothing until the client's patience was over.
+};
+
+/// One request of a client that keeps its connection.
+struct connection_record
+{
+    std::string id;
+    std::size_t node = 0;
+    bool isIdempotent = false;
+    bool isKept = false; ///< The connection had served an earlier request.
+    std::chrono::milliseconds deadline{0};
+    std::chrono::milliseconds workTime{0}; ///< How long a server works on it.
+    std::size_t answerBytes = 0; ///< Size of the body that a server sends, at least.
+    instant sentAt{}; ///< When its last byte was sent.
+    instant endedAt{};
+    connection_end end = connection_end::answered;
+    int status = 0; ///< Zero without a complete answer.
+    bool hasSeal = false;
+    std::size_t bodyBytes = 0;
+    std::size_t receivedBytes = 0;
+};
+
 /// Everything that the checks evaluate.
 struct run_record
 {
+    std::vector<connection_record> requests; ///< On kept connections.
     std::vector<call_record> calls;
     std::vector<process_event> processes;
     std::vector<store_event> changes;
