A planned stop waits until clients have the last answers

Cause: a request counted as finished when its answer was handed to the socket, and the process ended 150 ms after the last one.

Ruled out: the grace period (3.6 s of it were left), deadlines.

Change: a request is finished when its answer is written and, if the connection ends with it, the client has closed it; the existing 1.5 s bound the latter. The process ends then, or 100 ms before the end of the grace period.

--- a/src/flamingofield/edge/edge_node.cpp
+++ b/src/flamingofield/edge/edge_node.cpp
@@ -215,7 +215,7 @@
     /// @return true if the event loop was stopped
     bool advanceStop(instant now)
     {
-        switch (m_stop.next(m_settings.gracePeriod, m_gate.pending(), now)) {
+        switch (m_stop.next(m_settings.gracePeriod, m_stop.isRunning() ? m_gate.unfinished() : 0, now)) {
         case stop_step::none:
             break;
         case stop_step::refuseNew:
@@ -226,7 +226,9 @@
             m_requestProxy.failAllPending();
             break;
         case stop_step::end:
-            logEvent(log_level::info, "stopped", {{"after_ms", std::to_string(toMilliseconds(m_stop.since(now)))}});
+            logEvent(
+                log_level::info, "stopped",
+                {{"after_ms", std::to_string(toMilliseconds(m_stop.since(now)))}, {"unfinished", std::to_string(m_gate.unfinished())}});
             m_loop.stop();
             return true;
         }
--- a/src/flamingofield/edge/stop_sequence.cpp
+++ b/src/flamingofield/edge/stop_sequence.cpp
@@ -8,31 +8,36 @@
 constexpr milliseconds acceptDuration{2200};
 /// Part of the grace period that is reserved for the final answers to reach the callers.
 constexpr milliseconds finalAnswerReserve{450};
-/// Time for the last answers to be written to the sockets.
+/// Time for the last packets to leave.
 constexpr milliseconds flushDuration{150};
+/// Part of the grace period that is left for the end of the process.
+constexpr milliseconds endReserve{100};
 
 } // namespace
 
-stop_step stop_sequence::next(duration grace, std::size_t pending, instant now)
+stop_step stop_sequence::next(duration grace, std::size_t unfinished, instant now)
 {
     if (!m_isRunning) {
         return stop_step::none;
     }
     if (!m_isRefusingNew && since(now) >= acceptDuration) {
         m_isRefusingNew = true;
-        m_answeredAt = now;
+        m_finishedAt = now;
         return stop_step::refuseNew;
     }
     if (!m_hasAbandoned && since(now) >= grace - finalAnswerReserve) {
         m_hasAbandoned = true;
-        m_answeredAt = now;
+        m_finishedAt = now;
         return stop_step::abandon;
     }
-    if (!m_isRefusingNew || (pending > 0 && !m_hasAbandoned)) {
-        m_answeredAt = now;
+    if (!m_isRefusingNew) {
         return stop_step::none;
     }
-    return now - m_answeredAt >= flushDuration ? stop_step::end : stop_step::none;
+    if (unfinished > 0 && since(now) < grace - endReserve) {
+        m_finishedAt = now;
+        return stop_step::none;
+    }
+    return unfinished > 0 || now - m_finishedAt >= flushDuration ? stop_step::end : stop_step::none;
 }
 
 } // namespace flamingofield
--- a/src/flamingofield/edge/stop_sequence.hpp
+++ b/src/flamingofield/edge/stop_sequence.hpp
@@ -15,7 +15,7 @@
 };
 
 /// Steps and times of a planned stop: accept until callers' cached addresses have expired, complete requests in flight, send the
-/// last answers. Reads no clock.
+/// last answers, and end when their clients have them. Reads no clock.
 class stop_sequence
 {
 public:
@@ -32,8 +32,8 @@
 
     /// Returns the step that is due now. refuseNew and abandon are each returned at most once.
     /// @param grace time from begin() in which the process must end
-    /// @param pending number of requests without an answer
-    stop_step next(duration grace, std::size_t pending, instant now);
+    /// @param unfinished number of requests that have no answer or whose answer has not reached its client
+    stop_step next(duration grace, std::size_t unfinished, instant now);
 
     duration since(instant now) const
     {
@@ -45,7 +45,7 @@
     bool m_isRefusingNew = false;
     bool m_hasAbandoned = false;
     instant m_beganAt{};
-    instant m_answeredAt{}; ///< Last time at which an answer was still due; the flush period starts here.
+    instant m_finishedAt{}; ///< Last time at which a request was unfinished; the flush period starts here.
 };
 
 } // namespace flamingofield
--- a/src/flamingofield/http/internal/client_session.cpp
+++ b/src/flamingofield/http/internal/client_session.cpp
@@ -45,7 +45,6 @@
     if (m_phase != phase::waiting) {
         return;
     }
-    --m_owner->pending;
     m_onDisconnect = nullptr;
     write(answer, !m_isKeepAlive || m_owner->isDraining);
 }
@@ -65,6 +64,11 @@
     return m_phase == phase::idle;
 }
 
+bool client_session::isUnfinished() const
+{
+    return m_phase == phase::waiting || m_phase == phase::writing || m_phase == phase::lingering;
+}
+
 void client_session::tick(instant now)
 {
     const duration phaseDuration = now - m_phaseStart;
@@ -106,7 +110,6 @@
     error_code ignored; // The connection is discarded in any case.
     m_socket.close(ignored);
     if (hadPendingRequest) {
-        --m_owner->pending;
         if (auto onDisconnect = std::move(m_onDisconnect)) {
             onDisconnect();
         }
@@ -255,7 +258,6 @@
     }
     m_request.body = std::move(message.body());
     enter(phase::waiting);
-    ++m_owner->pending;
     if (m_buffer.size() == 0) {
         startRead();
     }
--- a/src/flamingofield/http/internal/client_session.hpp
+++ b/src/flamingofield/http/internal/client_session.hpp
@@ -31,7 +31,6 @@
     limits_source limits;
     handler onRequest;
     std::unordered_set<std::shared_ptr<client_session>> sessions;
-    std::size_t pending = 0;
     bool isDraining = false;
     bool isStopped = false;
 };
@@ -52,6 +51,9 @@
 
     bool isIdle() const;
 
+    /// True from a complete request until its answer is written, or until the client closes a connection that ends with it.
+    bool isUnfinished() const;
+
     void tick(instant now);
 
     void close();
--- a/src/flamingofield/http/listener.cpp
+++ b/src/flamingofield/http/listener.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
+
 namespace flamingofield {
 
 namespace asio = boost::asio;
@@ -110,9 +112,10 @@
     }
 }
 
-std::size_t listener::pending() const
+std::size_t listener::unfinished() const
 {
-    return m_state->pending;
+    return static_cast<std::size_t>(
+        std::count_if(m_state->sessions.begin(), m_state->sessions.end(), [](const auto &each) { return each->isUnfinished(); }));
 }
 
 std::size_t listener::connections() const
--- a/src/flamingofield/http/listener.hpp
+++ b/src/flamingofield/http/listener.hpp
@@ -65,8 +65,9 @@
     /// Enforces the timeouts of all connections; to be called several times a second.
     void tick(instant now);
 
-    /// Number of requests without an answer.
-    std::size_t pending() const;
+    /// Number of requests without an answer, and of answers that are not written or, if they are the last ones on their connection, whose
+    /// client has not closed it.
+    std::size_t unfinished() const;
     std::size_t connections() const;
 
 private:
--- a/tests/edge/stop_sequence_tests.cpp
+++ b/tests/edge/stop_sequence_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace flamingofield;
@@ -9,7 +10,7 @@
 namespace {
 
 const instant start = instant() + seconds(1000);
-constexpr seconds grace{6};
+constexpr seconds usualGrace{6};
 
 class stop_sequence_tests : public CppUnit::TestFixture
 {
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(acceptsUntilCachedAddressesExpireThenEndsWithoutRequests);
     CPPUNIT_TEST(waitsForRequestsInFlight);
     CPPUNIT_TEST(abandonsRequestsInTimeForTheirFinalAnswers);
+    CPPUNIT_TEST(waitsUntilTheLastAnswersAreReceivedAfterItAbandonedRequests);
     CPPUNIT_TEST_SUITE_END();
 
     struct timed_step
@@ -33,15 +35,16 @@
 
     /// Steps other than none, with the milliseconds after begin() at which they came.
     /// @param pendingUntil time after begin() at which the last request is answered, unless it is abandoned earlier
-    static std::vector<timed_step> stepsOf(duration pendingUntil)
+    /// @param receivedAfter time from that answer until its client has received it
+    static std::vector<timed_step> stepsOf(duration pendingUntil, duration receivedAfter = duration::zero(), duration grace = usualGrace)
     {
         stop_sequence stop;
         stop.begin(start);
         std::vector<timed_step> steps;
-        bool isAbandoned = false;
+        duration answeredAt = pendingUntil;
         for (duration since{}; since < grace; since += milliseconds(50)) {
-            const stop_step step = stop.next(grace, since < pendingUntil && !isAbandoned ? 1 : 0, start + since);
-            isAbandoned = isAbandoned || step == stop_step::abandon;
+            const stop_step step = stop.next(grace, since < answeredAt + receivedAfter ? 1 : 0, start + since);
+            answeredAt = step == stop_step::abandon ? std::min(answeredAt, since) : answeredAt;
             if (step != stop_step::none) {
                 steps.push_back({step, toMilliseconds(since)});
             }
@@ -55,7 +58,7 @@
     void doesNothingBeforeItBegins()
     {
         stop_sequence stop;
-        CPPUNIT_ASSERT(stop.next(grace, 0, start) == stop_step::none);
+        CPPUNIT_ASSERT(stop.next(usualGrace, 0, start) == stop_step::none);
         CPPUNIT_ASSERT(!stop.isRunning());
     }
 
@@ -74,6 +77,18 @@
         CPPUNIT_ASSERT((stepsOf(seconds(60))
                         == std::vector<timed_step>{{stop_step::refuseNew, 2200}, {stop_step::abandon, 5550}, {stop_step::end, 5700}}));
     }
+
+    /// Guards against answers that are cut because the process ends while they are still being written.
+    void waitsUntilTheLastAnswersAreReceivedAfterItAbandonedRequests()
+    {
+        CPPUNIT_ASSERT(
+            (stepsOf(seconds(3), milliseconds(1500)) == std::vector<timed_step>{{stop_step::refuseNew, 2200}, {stop_step::end, 4600}}));
+        CPPUNIT_ASSERT((stepsOf(seconds(60), milliseconds(200))
+                        == std::vector<timed_step>{{stop_step::refuseNew, 2200}, {stop_step::abandon, 5550}, {stop_step::end, 5850}}));
+        // The process ends by itself before it is killed, whatever has not been received.
+        CPPUNIT_ASSERT((stepsOf(seconds(3), seconds(60))
+                        == std::vector<timed_step>{{stop_step::refuseNew, 2200}, {stop_step::abandon, 5550}, {stop_step::end, 5900}}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stop_sequence_tests);
--- a/tests/http/listener_tests.cpp
+++ b/tests/http/listener_tests.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <unistd.h>
 
 using namespace flamingofield;
@@ -22,10 +23,11 @@
     listener_harness()
         : server(
             loop, [this] { return limits; },
-            [](const auto &pending) {
+            [this](const auto &pending) {
                 http_answer_message answer;
                 answer.status = 200;
                 answer.body = pending->request().target;
+                answer.body.resize(std::max(answer.body.size(), answerBytes), '.');
                 pending->answer(answer);
             })
         , client(loop)
@@ -35,17 +37,22 @@
         client.connect({boost::asio::ip::make_address(host), port});
     }
 
-    /// Sends bytes and runs the listener for a time.
-    /// @return all bytes received by then
-    std::string sendAndReceive(const std::string &bytes, milliseconds time = milliseconds(60))
+    void run(milliseconds time)
     {
-        boost::asio::write(client, boost::asio::buffer(bytes));
         const auto end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end) {
             loop.restart();
-            loop.run_for(milliseconds(5));
+            loop.run_for(std::min(time, milliseconds(5)));
             server.tick(std::chrono::steady_clock::now());
         }
+    }
+
+    /// Sends bytes and runs the listener for a time.
+    /// @return all bytes received by then
+    std::string sendAndReceive(const std::string &bytes, milliseconds time = milliseconds(60))
+    {
+        boost::asio::write(client, boost::asio::buffer(bytes));
+        run(time);
         std::string received(client.available(), '\0');
         boost::asio::read(client, boost::asio::buffer(received));
         return received;
@@ -73,6 +80,7 @@
 
     boost::asio::io_context loop{1};
     client_connection_limits limits;
+    std::size_t answerBytes = 0; ///< Smallest size of the answers' bodies.
     listener server;
     tcp::socket client;
 };
@@ -91,6 +99,7 @@
     CPPUNIT_TEST(refusesAndLogsRequestsIncompleteAtTheTimeout);
     CPPUNIT_TEST(refusesARequestBeforeAPartWithoutEndTakesTheMemory);
     CPPUNIT_TEST(closesConnectionsAfterTheirAnswerWhileDraining);
+    CPPUNIT_TEST(countsARequestUntilItsClientHasTheWholeAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     void answersPipelinedRequestsInOrder()
@@ -164,6 +173,25 @@
         CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
         CPPUNIT_ASSERT(answer.find("/one") != std::string::npos);
     }
+
+    /// Guards against a planned stop that ends the process while a slow client still reads its answer.
+    void countsARequestUntilItsClientHasTheWholeAnswer()
+    {
+        listener_harness harness;
+        harness.answerBytes = 32U << 20U; // More than the sockets of both sides hold.
+        boost::asio::write(harness.client, boost::asio::buffer(std::string("GET /one HTTP/1.1\r\nHost: a\r\n\r\n")));
+        harness.run(milliseconds(60));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.server.unfinished());
+        std::size_t received = 0;
+        const auto end = std::chrono::steady_clock::now() + seconds(10);
+        while (received < harness.answerBytes && std::chrono::steady_clock::now() < end) {
+            std::string piece(harness.client.available(), '\0');
+            received += boost::asio::read(harness.client, boost::asio::buffer(piece));
+            harness.run(milliseconds(2));
+        }
+        CPPUNIT_ASSERT(received >= harness.answerBytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.server.unfinished());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(listener_tests);
