Refuse new requests early enough in a short grace period

Cause: requests were accepted for 2.2 s after SIGTERM whatever the grace period. In one below 2.65 s the final answers were sent first, and later requests were taken until the process was killed.

Change: accept for 2.2 s, or half of the time until the final answers if that is less.

Measured: refusesNewRequestsEarlyInAShortGracePeriod failed before and passes after; the steps in a grace period of 6 s are the same.

--- a/src/flamingofield/edge/stop_sequence.cpp
+++ b/src/flamingofield/edge/stop_sequence.cpp
@@ -1,5 +1,7 @@
 #include "edge/stop_sequence.hpp"
 
+#include <algorithm>
+
 namespace flamingofield {
 
 namespace {
@@ -13,6 +15,12 @@
 /// Part of the grace period that is left for the end of the process.
 constexpr milliseconds endReserve{100};
 
+/// Requests that are accepted late need time to complete, also in a short grace period.
+duration acceptDurationIn(duration grace)
+{
+    return std::min<duration>(acceptDuration, (grace - finalAnswerReserve) / 2);
+}
+
 } // namespace
 
 stop_step stop_sequence::next(duration grace, std::size_t unfinished, instant now)
@@ -20,7 +28,7 @@
     if (!m_isRunning) {
         return stop_step::none;
     }
-    if (!m_isRefusingNew && since(now) >= acceptDuration) {
+    if (!m_isRefusingNew && since(now) >= acceptDurationIn(grace)) {
         m_isRefusingNew = true;
         m_finishedAt = now;
         return stop_step::refuseNew;
--- a/tests/edge/stop_sequence_tests.cpp
+++ b/tests/edge/stop_sequence_tests.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(waitsForRequestsInFlight);
     CPPUNIT_TEST(abandonsRequestsInTimeForTheirFinalAnswers);
     CPPUNIT_TEST(waitsUntilTheLastAnswersAreReceivedAfterItAbandonedRequests);
+    CPPUNIT_TEST(refusesNewRequestsEarlyInAShortGracePeriod);
     CPPUNIT_TEST_SUITE_END();
 
     struct timed_step
@@ -89,6 +90,13 @@
         CPPUNIT_ASSERT((stepsOf(seconds(3), seconds(60))
                         == std::vector<timed_step>{{stop_step::refuseNew, 2200}, {stop_step::abandon, 5550}, {stop_step::end, 5900}}));
     }
+
+    /// Guards against requests that are taken until the process is killed, because the times of the steps exceed the grace period.
+    void refusesNewRequestsEarlyInAShortGracePeriod()
+    {
+        CPPUNIT_ASSERT((stepsOf(seconds(60), duration::zero(), seconds(2))
+                        == std::vector<timed_step>{{stop_step::refuseNew, 800}, {stop_step::abandon, 1550}, {stop_step::end, 1700}}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stop_sequence_tests);
