Answer what has arrived before a connection or the listener is closed

Cause: closing the listener resets the connections in its queue. Closing an idle connection resets a request that has arrived, and a read that has ended but whose handler is still to run has already taken it from the socket, so that the process drops a request it has read.

Ruled out: the bytes of a next request during an answer (they stay in the buffer and are served).

Change: the queue is accepted before the listener is closed. An idle connection is closed by cancelling its read; if that has ended, or bytes have arrived meanwhile, the request is served with Connection: close.

--- a/src/flamingofield/http/internal/client_session.cpp
+++ b/src/flamingofield/http/internal/client_session.cpp
@@ -59,9 +59,15 @@
     return m_request;
 }
 
-bool client_session::isIdle() const
+void client_session::closeIfIdle()
 {
-    return m_phase == phase::idle;
+    if (m_phase != phase::idle) {
+        return;
+    }
+    // The read may have ended with a request whose handler is still to run. If it has not, handleRead() closes the connection.
+    m_closesIfIdle = true;
+    error_code ignored; // Without a read to cancel, the connection is about to get its next request.
+    m_socket.cancel(ignored);
 }
 
 bool client_session::isUnfinished() const
@@ -76,7 +82,7 @@
     switch (m_phase) {
     case phase::idle:
         if (phaseDuration > limits.idleTimeout) {
-            close();
+            closeIfIdle();
         }
         break;
     case phase::reading:
@@ -141,7 +147,11 @@
     if (m_phase == phase::closed) {
         return;
     }
-    if (failure) {
+    const bool wasCancelled = failure == asio::error::operation_aborted && m_phase == phase::idle && m_closesIfIdle;
+    m_closesIfIdle = false;
+    if (wasCancelled && hasPendingInput(m_socket)) {
+        startRead();
+    } else if (failure) {
         close();
     } else if (m_phase == phase::idle) {
         readRequest();
--- a/src/flamingofield/http/internal/client_session.hpp
+++ b/src/flamingofield/http/internal/client_session.hpp
@@ -49,7 +49,8 @@
 
     const http_request_message &request() const override;
 
-    bool isIdle() const;
+    /// Closes the connection if it has no request, not even one that has arrived but has not been read.
+    void closeIfIdle();
 
     /// True from a complete request until its answer is written, or until the client closes a connection that ends with it.
     bool isUnfinished() const;
@@ -99,6 +100,7 @@
     phase m_phase = phase::idle;
     instant m_phaseStart{};
     bool m_isReading = false;
+    bool m_closesIfIdle = false; ///< The current read was cancelled to close the connection.
     bool m_hasHead = false;
     bool m_isKeepAlive = true;
 };
--- a/src/flamingofield/http/listener.cpp
+++ b/src/flamingofield/http/listener.cpp
@@ -63,7 +63,7 @@
 void listener::accept()
 {
     m_state->acceptor.async_accept([this, state = m_state](error_code failure, tcp_socket socket) {
-        if (state->isStopped) {
+        if (failure && state->isStopped) {
             return;
         }
         if (failure) {
@@ -76,13 +76,20 @@
             });
             return;
         }
-        const auto accepted = std::make_shared<client_session>(state, std::move(socket));
-        state->sessions.insert(accepted);
-        accepted->start();
-        accept();
+        startSession(state, std::move(socket));
+        if (!state->isStopped) {
+            accept();
+        }
     });
 }
 
+void listener::startSession(const std::shared_ptr<shared_state> &state, tcp_socket socket)
+{
+    const auto accepted = std::make_shared<client_session>(state, std::move(socket));
+    state->sessions.insert(accepted);
+    accepted->start();
+}
+
 void listener::beginDraining()
 {
     m_state->isDraining = true;
@@ -93,14 +100,21 @@
     shared_state &s = *m_state;
     s.isStopped = true;
     s.isDraining = true;
-    error_code ignored; // The acceptor may be closed already.
-    s.acceptor.close(ignored);
+    error_code failure; // The acceptor may be closed already.
+    s.acceptor.non_blocking(true, failure);
+    // Closing the acceptor would reset the connections that wait in its queue.
+    while (!failure) {
+        tcp_socket socket(s.loop);
+        s.acceptor.accept(socket, failure);
+        if (!failure) {
+            startSession(m_state, std::move(socket));
+        }
+    }
+    s.acceptor.close(failure);
     s.acceptTimer.cancel();
     const auto sessions = s.sessions;
     for (const auto &each : sessions) {
-        if (each->isIdle()) {
-            each->close();
-        }
+        each->closeIfIdle();
     }
 }
 
--- a/src/flamingofield/http/listener.hpp
+++ b/src/flamingofield/http/listener.hpp
@@ -6,6 +6,7 @@
 #include "http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
 #include <memory>
@@ -59,7 +60,7 @@
     /// Closes each connection after its next answer from now on.
     void beginDraining();
 
-    /// Accepts no more connections and closes those without a request.
+    /// Accepts no more connections and closes those without a request. Connections and requests that have already arrived are served.
     void stopAccepting();
 
     /// Enforces the timeouts of all connections; to be called several times a second.
@@ -75,6 +76,7 @@
     struct shared_state;
 
     void accept();
+    static void startSession(const std::shared_ptr<shared_state> &state, boost::asio::ip::tcp::socket socket);
 
     std::shared_ptr<shared_state> m_state;
 };
--- a/tests/http/listener_tests.cpp
+++ b/tests/http/listener_tests.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(refusesARequestBeforeAPartWithoutEndTakesTheMemory);
     CPPUNIT_TEST(closesConnectionsAfterTheirAnswerWhileDraining);
     CPPUNIT_TEST(countsARequestUntilItsClientHasTheWholeAnswer);
+    CPPUNIT_TEST(answersRequestsThatArrivedBeforeItStoppedAccepting);
     CPPUNIT_TEST_SUITE_END();
 
     void answersPipelinedRequestsInOrder()
@@ -192,6 +193,27 @@
         CPPUNIT_ASSERT(received >= harness.answerBytes);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.server.unfinished());
     }
+
+    /// Guards against requests that are reset unread when a planned stop closes the listener.
+    void answersRequestsThatArrivedBeforeItStoppedAccepting()
+    {
+        listener_harness harness;
+        harness.run(milliseconds(20));
+        tcp::socket queued(harness.loop);
+        queued.connect(harness.client.remote_endpoint());
+        const std::string request = "GET /late HTTP/1.1\r\nHost: a\r\n\r\n";
+        for (tcp::socket *each : {&harness.client, &queued}) {
+            boost::asio::write(*each, boost::asio::buffer(request));
+        }
+        harness.server.stopAccepting();
+        harness.run(milliseconds(60));
+        for (tcp::socket *each : {&harness.client, &queued}) {
+            std::string received(each->available(), '\0');
+            boost::asio::read(*each, boost::asio::buffer(received));
+            CPPUNIT_ASSERT_MESSAGE((each == &queued ? "in the queue: " : "accepted: ") + received, startsWith(received, "HTTP/1.1 200 "));
+            CPPUNIT_ASSERT(received.find("Connection: close") != std::string::npos);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(listener_tests);
