Soak: judge a request by its route's timeout where that is shorter

Change: a request is overdue, and its run over, at the shorter of the two. An unsafe request that runs twice is reported also when it got no answer.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -187,8 +187,8 @@
 }
 
 /// A request that was read ends with a complete answer, also around planned stops, and no run is broken off for an answer of the node's
-/// own. Allowed: a close that crosses a request, an answer that its client has not read by its deadline, and a stop's last sixth of the
-/// grace period for requests of its first three seconds.
+/// own. Allowed: a close that crosses a request, an answer that its client has not read by the request's timeout, and a stop's last sixth
+/// of the grace period for requests of its first three seconds.
 void checkNothingIsLost(const run_view &view, const connection_record &request, std::vector<std::string> &violations)
 {
     const instant from = request.sentAt - stableWindow;
@@ -206,7 +206,7 @@
     }
     const bool isAnswered = request.end == connection_end::answered;
     const bool crossesClose = !isAnswered && runs == 0 && request.endedAt - request.sentAt <= lossSlack;
-    const bool isOverdue = request.endedAt - request.sentAt > request.deadline && request.receivedBytes > 0;
+    const bool isOverdue = request.endedAt - request.sentAt > request.timeout && request.receivedBytes > 0;
     if (!isAnswered && !crossesClose && !isForced && !isOverdue) {
         violations.push_back("ended without a complete answer" + std::string(isStopped ? " around a planned stop: " : ": ")
                              + describe(request, runs));
@@ -216,12 +216,12 @@
         violations.push_back("success with a shorter body than the server's: " + describe(request, runs));
     }
     const bool isBrokenOff = isAnswered && !request.hasSeal && runs > 0 && isStopped && !isForced
-        && request.endedAt - request.sentAt < std::min<duration>(request.workTime, request.deadline)
+        && request.endedAt - request.sentAt < std::min<duration>(request.workTime, request.timeout)
         && !view.disturbances.isAnyDisturbed(subject_kind::server, from, request.endedAt);
     if (isBrokenOff) {
         violations.push_back("a run was broken off by a planned stop: " + describe(request, runs));
     }
-    if (isAnswered && !request.isIdempotent && runs > 1) {
+    if (!request.isIdempotent && runs > 1) {
         violations.push_back("ran " + std::to_string(runs) + " times: " + describe(request, runs));
     }
     if (isAnswered && !request.isIdempotent && runs > 0 && statesNotRun(request.status)) {
--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -237,7 +237,7 @@
         record.node = node;
         record.isKept = requestsOnConnection++ > 0;
         record.isIdempotent = kind.use != route_use::write;
-        record.deadline = milliseconds(kind.deadlineMs);
+        record.timeout = std::min(milliseconds(kind.deadlineMs), platform_fleet::timeoutOf(kind.use));
         record.workTime = milliseconds(isLarge ? 0 : drawn(random, kind.workMs, kind.maxWorkMs));
         record.answerBytes = isLarge ? largeAnswerBytes : drawn(random, kind.answerBytes, kind.maxAnswerBytes);
         const int service = static_cast<int>(random() % static_cast<std::size_t>(m_fleet.services()));
@@ -250,7 +250,7 @@
         record.sentAt = std::chrono::steady_clock::now();
         bool isReusable = false;
         if (isSent) {
-            isReusable = receiveAnswer(socket, isSlow, record.sentAt + record.deadline + patience, record);
+            isReusable = receiveAnswer(socket, isSlow, record.sentAt + milliseconds(kind.deadlineMs) + patience, record);
         } else {
             record.end = connection_end::reset;
         }
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -108,7 +108,7 @@
     std::size_t node = 0;
     bool isIdempotent = false;
     bool isKept = false; ///< The connection had served an earlier request.
-    std::chrono::milliseconds deadline{0};
+    std::chrono::milliseconds timeout{0}; ///< The shorter one of its deadline and its route's timeout.
     std::chrono::milliseconds workTime{0}; ///< How long a server works on it.
     std::size_t answerBytes = 0; ///< Size of the body that a server sends, at least.
     instant sentAt{}; ///< When its last byte was sent.
