Review case 10: a server's 503 for a request that ran reaches the caller

Without the header for requests that have not run, the node counts the request as possibly run and still passes the status on, which promises the opposite.

--- /dev/null
+++ b/review/10/case.cpp
@@ -0,0 +1,77 @@
+// A backend server fails part of its requests after it has begun to work on them, and answers 503 without the header that states that a
+// request has not run. Towards a client, 503 is that statement; so the node must not pass it on for a request that may have run.
+#include "../common-2/harness.hpp"
+
+using namespace review;
+
+namespace {
+
+constexpr int requestCount = 40;
+/// Every so many requests fail at the server.
+constexpr int failEvery = 3;
+
+} // namespace
+
+int main()
+{
+    record log("review/10/record.txt");
+    const bool isTroubleOn = review::isTroubleOn();
+    const std::string network = randomNetwork();
+    temporary_folder folder;
+    folder.files = {"entry-1.conf", "entry-1.log"};
+
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+    int arrivals = 0;
+    store platformStore;
+    backend server;
+    server.id = "i-grey";
+    server.service = "partia";
+    const auto serve = soundServer(server.id, [&](const message &request) {
+        const std::string id = request.field("flamingofield-request-id");
+        bool fails = false;
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            ++runs[id];
+            fails = isTroubleOn && ++arrivals % failEvery == 0;
+        }
+        sleepMs(10);
+        log.line("server ran %s and answers %d", id.c_str(), fails ? 503 : 200);
+        return fails ? backendAnswer(503, id, "failed") : backendAnswer(200, id, "done");
+    });
+    node entry;
+    entry.name = "entry-1";
+    entry.ip = network + "1";
+    entry.directoryPath = folder.path;
+    entry.choosePorts(freePort(entry.ip));
+    entry.seeds = entry.control.text();
+    if (!platformStore.start(network + "250") || !server.start(network + "100", serve)) {
+        return notRunExit;
+    }
+    platformStore.put("op/config", configText(7, "partia"));
+    server.registerAt(platformStore);
+    if (!entry.start(platformStore.at) || !entry.waitReady(10000)) {
+        log.line("the entry node did not get ready");
+        return notRunExit;
+    }
+
+    int served = 0;
+    int broken = 0;
+    for (int i = 0; i < requestCount; ++i) {
+        const std::string id = "close-" + std::to_string(i);
+        const message answer = sendRequest(entry.gate, clientHead("POST", "/write/x", id, 4000, "Content-Length: 0\r\n"), 4500);
+        const std::lock_guard<std::mutex> lock(mutex);
+        const int ran = runs[id];
+        served += answer.status() == 200 ? 1 : 0;
+        if (answer.status() == 503 || answer.status() == 429) {
+            log.line("client got %d to %s, which ran %d times", answer.status(), id.c_str(), ran);
+            broken += ran > 0 ? 1 : 0;
+        }
+        sleepMs(20);
+    }
+    log.line("%d requests of kind unsafe: %d served, %d answered 503 although they ran", requestCount, served, broken);
+    if (broken > 0) {
+        return brokenExit;
+    }
+    return isTroubleOn || served == requestCount ? heldExit : notRunExit;
+}
