--- a/review/10/case.cpp
+++ b/review/10/main.cc
@@ -1,6 +1,6 @@
 // A backend server fails part of its requests after it has begun to work on them, and answers 503 without the header that states that a
 // request has not run. Towards a client, 503 is that statement; so the node must not pass it on for a request that may have run.
-#include "../common-2/harness.hpp"
+#include "../common-2/harness.h"
 
 using namespace review;
 
--- a/review/7/case.cpp
+++ b/review/7/main.cc
@@ -1,6 +1,6 @@
 // One machine is partitioned from the store for some seconds. Meanwhile a backend server leaves. When the machine reaches the store again,
 // it keeps the server in its list for a while; the other machines, which know that the server has gone, must not take this list from it.
-#include "../common-2/harness.hpp"
+#include "../common-2/harness.h"
 
 using namespace review;
 
@@ -159,8 +159,8 @@
                          static_cast<long long>(sent), static_cast<long long>(each.atMs), static_cast<long long>(each.atMs - goneAt));
             }
         }
-        log.line("%zu requests ran, %d of them on i-0, %d of those were sent later than %d ms after its removal; %d clients got 200", runs.size(),
-                 known, late, drainMs, answered.load());
+        log.line("%zu requests ran, %d of them on i-0, %d of those were sent later than %d ms after its removal; %d clients got 200",
+                 runs.size(), known, late, drainMs, answered.load());
     }
     if (answered == 0 || !calm.isRunning()) {
         return notRunExit;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for number in 6 7 8 9 10; do
-    if [ -f "review/$number/case.cpp" ]; then
-        c++ -std=c++17 -O1 -Wall -Wextra -pthread "review/$number/case.cpp" -o "target/review-2/case-$number"
+    if [ -f "review/$number/main.cc" ]; then
+        c++ -std=c++17 -O1 -Wall -Wextra -pthread "review/$number/main.cc" -o "target/review-2/case-$number"
     fi
 done
