Do not take a broken connection for the end of an answer to an upload

What callers saw: a server answered a long upload early with a 200 that had no length, sent part of its body and reset the connection while the upload was being written.

Cause: an exchange writes the request and reads the answer at the same time. The kernel reports the error of a connection once, and the event loop performs a pending write before a pending read. So the write took ECONNRESET, or ETIMEDOUT if the server had stopped reading, and dropped it; the read then saw the end of the stream, which is the regular end of an answer without a length.

Ruled out: answers with a length or in chunks (their parser knows where they end), requests that are written completely (the read gets the error), heads (an end of the stream within one is an error).

Change: the exchange keeps the error of the write. An answer that ends with its connection is incomplete if the write has failed, unless with EPIPE: that is what Linux reports for a reset that comes after the end of the stream, as when a server sends all of its answer and closes while the upload goes on. The exchange then ends as one that may have run: 502 for unsafe requests, another attempt for safe ones.

--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -85,6 +85,7 @@
     std::optional<duration> connectTime;
     bool hasStartedSending = false; ///< Bytes may have been sent.
     bool isWritten = false; ///< All bytes have been written to the socket.
+    error_code writeFailure; ///< Set if the request could not be written completely.
     bool hasEnded = false;
     int skippedAnswers = 0;
     std::shared_ptr<memory_reservation> reservation; ///< For the answer.
@@ -163,6 +164,7 @@
     asio::async_write(s.connection.socket, parts, [self = shared_from_this()](error_code failure, std::size_t written) {
         state &mine = *self->m_state;
         mine.isWritten = !failure;
+        mine.writeFailure = failure;
         if (failure && !mine.hasEnded && written == 0) {
             mine.hasStartedSending = false;
             self->fail("send", failure.message());
@@ -215,6 +217,11 @@
             exchange_result refused;
             refused.wasMemoryRefused = true;
             self->fail("receive answer", "the answer does not fit into the memory budget", std::move(refused));
+        } else if (mine.parser->is_done() && self->isEndedByBrokenConnection()) {
+            exchange_result broken;
+            broken.wasClosedByPeer = mine.writeFailure == asio::error::connection_reset;
+            self->fail("receive answer", "the connection broke before the end of the answer: " + mine.writeFailure.message(),
+                       std::move(broken));
         } else if (mine.parser->is_done()) {
             self->handleAnswer();
         } else {
@@ -241,6 +248,14 @@
     return s.parser->is_header_done() && !s.isHeadRequest ? s.parser->content_length().value_or(0) : 0;
 }
 
+bool exchange::isEndedByBrokenConnection() const
+{
+    // The kernel reports the error of a connection once, and the event loop performs a pending write before a pending read. If the write
+    // takes the error, the read sees the end of the stream. EPIPE is the error of a reset that came after the peer had ended its stream.
+    const state &s = *m_state;
+    return s.parser->need_eof() && s.writeFailure && s.writeFailure != asio::error::broken_pipe;
+}
+
 bool exchange::reserveMemory()
 {
     state &s = *m_state;
--- a/src/flamingofield/http/exchange.hpp
+++ b/src/flamingofield/http/exchange.hpp
@@ -81,6 +81,8 @@
     void takeHead();
     /// Length that the head declares for the body, zero if there is none.
     std::uint64_t declaredBodyBytes() const;
+    /// True if an answer that ends with its connection was ended by an error of the connection, which the write of the request took.
+    bool isEndedByBrokenConnection() const;
     /// Reserves memory for what has been received.
     /// @return false if the bound is reached
     bool reserveMemory();
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
+#include <tuple>
 #include <unistd.h>
 
 using namespace flamingofield;
@@ -18,13 +19,18 @@
 /// Bytes that the sockets of both sides may hold beyond what the exchange has received.
 constexpr std::size_t socketBytes = 8U << 20U;
 
-/// A scripted backend server and exchanges with it on one event loop.
+/// Whether the exchange and the server run in small steps, or in turns until each can do nothing more. In turns, the exchange finds
+/// everything that the server has done to a connection at once.
+enum class interleaving { steps, turns };
+
+/// A scripted backend server and exchanges with it.
 class exchange_fixture
 {
 public:
-    explicit exchange_fixture(scripted_backend::script reply)
+    explicit exchange_fixture(scripted_backend::script reply, interleaving order = interleaving::steps)
         : address{"127." + std::to_string(30 + getpid() % 180) + ".7.1", port}
-        , backend(loop, address, std::move(reply))
+        , backend(order == interleaving::turns ? serverLoop : loop, address, std::move(reply))
+        , m_order(order)
     {
     }
 
@@ -37,8 +43,7 @@
         current->start(request, [&](exchange_result result) { ended = std::move(result); });
         const auto end = std::chrono::steady_clock::now() + limit;
         while (!ended && std::chrono::steady_clock::now() < end) {
-            loop.restart();
-            loop.run_one_for(milliseconds(5));
+            runLoops();
         }
         if (!ended) {
             current->cancel();
@@ -50,10 +55,27 @@
     }
 
     boost::asio::io_context loop{1};
+    boost::asio::io_context serverLoop{1};
     endpoint address;
     scripted_backend backend;
     connection_pool connections;
     exchange_options options;
+
+private:
+    void runLoops()
+    {
+        constexpr milliseconds turn{20};
+        loop.restart();
+        if (m_order == interleaving::steps) {
+            loop.run_one_for(milliseconds(5));
+            return;
+        }
+        loop.run_for(turn);
+        serverLoop.restart();
+        serverLoop.run_for(turn);
+    }
+
+    interleaving m_order;
 };
 
 http_request_message getRequest(const std::string &id = "r1")
@@ -66,6 +88,15 @@
     return request;
 }
 
+/// A request that is longer than the sockets of both sides hold.
+http_request_message uploadRequest(const std::string &id = "r1")
+{
+    http_request_message request = getRequest(id);
+    request.method = "POST";
+    request.body = std::string(32U << 20U, 'u');
+    return request;
+}
+
 class exchange_tests : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(exchange_tests);
@@ -75,6 +106,8 @@
     CPPUNIT_TEST(refusesAnAnswerInACodingThatItCannotDecode);
     CPPUNIT_TEST(keepsFieldsOfTheTrailerOutOfTheHead);
     CPPUNIT_TEST(reusesAConnectionWithAVeryLongKeepAliveTime);
+    CPPUNIT_TEST(failsIfAConnectionBreaksDuringAnUnframedAnswerToAnUpload);
+    CPPUNIT_TEST(deliversAnEarlyAnswerToAnUpload);
     CPPUNIT_TEST_SUITE_END();
 
     static backend_reply answerWithId(const backend_request &request)
@@ -189,6 +222,86 @@
         fixture.run(getRequest());
         CPPUNIT_ASSERT_EQUAL(1, fixture.backend.connections);
     }
+
+    /// Guards against a truncated answer that passes for a complete one: the pending write takes the error of the socket, and the read
+    /// only sees the end of the stream.
+    void failsIfAConnectionBreaksDuringAnUnframedAnswerToAnUpload()
+    {
+        for (const auto order : {interleaving::steps, interleaving::turns}) {
+            for (const bool isReused : {false, true}) {
+                for (const bool isReset : {false, true}) {
+                    const std::string part = isReused == isReset ? "" : "part";
+                    exchange_fixture fixture(
+                        [&](const backend_request &request) {
+                            if (request.method() == boost::beast::http::verb::get) {
+                                return answerWithId(request);
+                            }
+                            backend_reply reply;
+                            reply.bytes = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n" + part;
+                            reply.resetsConnection = isReset;
+                            reply.stopsReading = !isReset; // The kernel then ends the connection after unacknowledgedTimeout.
+                            return reply;
+                        },
+                        order);
+                    fixture.backend.answersLongRequestsEarly = true;
+                    fixture.options.requestIdField = "X-Id";
+                    fixture.options.maxIdleTime = seconds(10);
+                    fixture.options.unacknowledgedTimeout = milliseconds(300);
+                    if (isReused) {
+                        fixture.run(getRequest("r0"));
+                    }
+                    const auto ended = fixture.run(uploadRequest(), seconds(5));
+                    const std::string name
+                        = std::string(isReused ? "reused, " : "new, ") + (isReset ? "reset" : "timed out") + ", after \"" + part + "\"";
+                    CPPUNIT_ASSERT_MESSAGE(name, ended.has_value());
+                    CPPUNIT_ASSERT_MESSAGE(name, ended->outcome == exchange_outcome::mayHaveRun);
+                    CPPUNIT_ASSERT_EQUAL(std::string("receive answer"), ended->failure.step);
+                    CPPUNIT_ASSERT_EQUAL(isReset, ended->wasClosedByPeer);
+                    CPPUNIT_ASSERT_EQUAL(isReused, ended->wasConnectionReused);
+                }
+            }
+        }
+    }
+
+    void deliversAnEarlyAnswerToAnUpload()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        const std::string unframed = head + "\r\nwhole";
+        const std::string sized = head + "Content-Length: 5\r\n\r\nwhole";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+        backend_reply endsStream;
+        endsStream.endsStream = true;
+        backend_reply closes;
+        closes.closesConnection = true;
+        backend_reply resets;
+        resets.resetsConnection = true;
+        backend_reply closesWithoutReset = closes;
+        closesWithoutReset.readsBeforeClosing = true;
+        const std::vector<std::tuple<std::string, std::string, backend_reply>> cases{
+            {"unframed, ends its stream", unframed, endsStream},
+            {"unframed, closes", unframed, closesWithoutReset},
+            {"sized, ends its stream", sized, endsStream},
+            {"sized, resets", sized, resets},
+            {"chunked, closes", chunked, closes},
+            {"chunked, resets", chunked, resets},
+        };
+        for (const auto order : {interleaving::steps, interleaving::turns}) {
+            for (const auto &[name, bytes, end] : cases) {
+                exchange_fixture fixture(
+                    [&bytes = bytes, &end = end](const backend_request &) {
+                        backend_reply reply = end;
+                        reply.bytes = bytes;
+                        return reply;
+                    },
+                    order);
+                fixture.backend.answersLongRequestsEarly = true;
+                const auto ended = fixture.run(uploadRequest());
+                CPPUNIT_ASSERT_MESSAGE(name, ended.has_value());
+                CPPUNIT_ASSERT_MESSAGE(name + ": " + ended->failure.reason, ended->outcome == exchange_outcome::answered);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("whole"), ended->answer.body.text());
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_tests);
--- a/tests/support/scripted_backend.hpp
+++ b/tests/support/scripted_backend.hpp
@@ -12,7 +12,9 @@
 
 #include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,9 @@
     bool resetsConnection = false; ///< Resets the connection after the bytes.
     std::chrono::milliseconds delay{0}; ///< Delay before the reply.
     std::string endlessBytes{}; ///< Sent after the others, again and again until the caller closes the connection.
+    bool stopsReading = false; ///< Reads nothing after the bytes and leaves the connection open.
+    bool endsStream = false; ///< The same, and ends the stream to the caller after the bytes.
+    bool readsBeforeClosing = false; ///< Reads what has arrived before closing the connection, which then ends without a reset.
 };
 
 using backend_request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -35,6 +40,7 @@
 {
 public:
     using script = std::function<backend_reply(const backend_request &)>;
+    static constexpr std::size_t shortBody = 1U << 20U;
 
     scripted_backend(boost::asio::io_context &loop, const flamingofield::endpoint &address, script reply)
         : m_acceptor(loop, {boost::asio::ip::make_address_v4(address.host), address.port})
@@ -47,6 +53,8 @@
     int connections = 0;
     std::size_t endlessBytesSent = 0;
     int openEndlessReplies = 0; ///< Connections on which endless bytes are being sent.
+    /// Replies to a request with a body above shortBody when its head is complete, and does not read the body.
+    bool answersLongRequestsEarly = false;
     int failedReads = 0; ///< Connections whose next request could not be read, usually because the peer closed them.
 
 private:
@@ -58,7 +66,7 @@
         }
         boost::asio::ip::tcp::socket socket;
         boost::beast::flat_buffer buffer;
-        backend_request request;
+        std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
         std::string bytes;
     };
 
@@ -75,16 +83,33 @@
 
     void read(const std::shared_ptr<connection> &client)
     {
-        client->request = {};
-        boost::beast::http::async_read(client->socket, client->buffer, client->request,
-                                       [this, client](boost::system::error_code failure, std::size_t) {
-                                           if (failure) {
-                                               ++failedReads;
-                                               return;
-                                           }
-                                           requests.push_back(client->request);
-                                           replyAfterDelay(client, m_reply(client->request));
-                                       });
+        client->parser.emplace();
+        client->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        boost::beast::http::async_read_header(client->socket, client->buffer, *client->parser,
+                                              [this, client](boost::system::error_code failure, std::size_t) {
+                                                  const bool isLong = client->parser->content_length().value_or(0) > shortBody;
+                                                  if (failure || (isLong && answersLongRequestsEarly)) {
+                                                      handleRead(client, failure);
+                                                  } else {
+                                                      readBody(client);
+                                                  }
+                                              });
+    }
+
+    void readBody(const std::shared_ptr<connection> &client)
+    {
+        boost::beast::http::async_read(client->socket, client->buffer, *client->parser,
+                                       [this, client](boost::system::error_code failure, std::size_t) { handleRead(client, failure); });
+    }
+
+    void handleRead(const std::shared_ptr<connection> &client, boost::system::error_code failure)
+    {
+        if (failure) {
+            ++failedReads;
+            return;
+        }
+        requests.push_back(client->parser->get());
+        replyAfterDelay(client, m_reply(requests.back()));
     }
 
     void replyAfterDelay(const std::shared_ptr<connection> &client, const backend_reply &response)
@@ -103,6 +128,9 @@
         boost::asio::async_write(client->socket, boost::asio::buffer(client->bytes),
                                  [this, client, response](boost::system::error_code failure, std::size_t) {
                                      boost::system::error_code ignored;
+                                     if (response.readsBeforeClosing) {
+                                         readArrived(*client);
+                                     }
                                      if (response.resetsConnection) {
                                          client->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
                                      }
@@ -116,10 +144,27 @@
                                          replyWithoutEnd(client);
                                          return;
                                      }
+                                     if (response.stopsReading || response.endsStream) {
+                                         if (response.endsStream) {
+                                             client->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+                                         }
+                                         m_unread.push_back(client);
+                                         return;
+                                     }
                                      read(client);
                                  });
     }
 
+    static void readArrived(connection &client)
+    {
+        boost::system::error_code failure;
+        client.socket.non_blocking(true, failure);
+        std::string discarded(65536, '\0');
+        while (!failure) {
+            client.socket.read_some(boost::asio::buffer(discarded), failure);
+        }
+    }
+
     void replyWithoutEnd(const std::shared_ptr<connection> &client)
     {
         boost::asio::async_write(client->socket, boost::asio::buffer(client->bytes),
@@ -135,6 +180,7 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     script m_reply;
+    std::vector<std::shared_ptr<connection>> m_unread; ///< Connections that stay open and are not read.
 };
 
 } // namespace test_support
