Do not take an answer with an invalid status for an answer

What callers saw: a server in trouble sent an answer whose status was 000. flamingod passed it on as a complete answer (as also 099 and 600). flamingod-platform did not pass on 000, but took it for an interim answer: the bytes behind it became the answer, or the caller waited until its deadline and got 504. 600 and above were passed on.

Cause: every status below 200 counted as interim, every other one as final, and cpp-httplib takes any three digits.

Ruled out: a status that isn't three digits and a blank; the parsers of both daemons refuse it.

Change: isValidStatus() names the range of the protocol, 100 to 599 (RFC 9110, section 15). An exchange with a status outside it fails when the head is complete, on new and reused connections, whatever the rest of the head says ("not executed" included), so the request counts as one that may have run. The client of flamingod does the same. The exchange is also what reads the store and other nodes, flamingod's client what reads its store, its peers and its health checks.

Evidence, before -> after: exchange_tests::failsAtOnceOnAStatusOutsideTheProtocol failed (000: the sound answer behind it was reported) -> passes; broken_answer_tests::passesOnNoAnswerWhoseStatusIsOutsideTheProtocol, through a real node, failed (504 at the deadline) -> passes, 502 within a second; answer_tests::rejectsIncompleteAndMalformedAnswers, with three rows more, failed through flamingod (status 000 as an answer) -> passes.

--- a/src/flamingofield/gate/backend_client.cpp
+++ b/src/flamingofield/gate/backend_client.cpp
@@ -1,5 +1,7 @@
 #include "gate/backend_client.hpp"
 
+#include "http/message.hpp"
+
 #include <httplib.h>
 
 #include <deque>
@@ -143,6 +145,9 @@
             }
             return backend_outcome_unknown{httplib::to_string(failure), isTimeout(failure, request.deadline), isReused};
         }
+        if (!isValidStatus(response.status)) {
+            return backend_outcome_unknown{"the answer has the invalid status " + std::to_string(response.status), false, isReused};
+        }
         if (!hasFraming(translated, response)) {
             return backend_outcome_unknown{"the answer declares no length, so a cut could not be told", false, isReused};
         }
--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -209,6 +209,8 @@
             exchange_result broken;
             broken.wasClosedByPeer = isClosedByPeer;
             self->fail("receive answer", failure.message(), std::move(broken));
+        } else if (mine.hasHead && !isValidStatus(mine.answer.status)) {
+            self->fail("receive answer", "the answer has the invalid status " + std::to_string(mine.answer.status));
         } else if (hasUnknownCoding(mine.answer.fields)) {
             self->fail("receive answer", "the answer is in a transfer coding other than chunked, which was not requested");
         } else if (self->declaredBodyBytes() > mine.options.maxAnswerBytes) {
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <tuple>
 #include <unistd.h>
+#include <utility>
 
 using namespace flamingofield;
 using test_support::backend_reply;
@@ -108,6 +109,7 @@
     CPPUNIT_TEST(reusesAConnectionWithAVeryLongKeepAliveTime);
     CPPUNIT_TEST(failsIfAConnectionBreaksDuringAnUnframedAnswerToAnUpload);
     CPPUNIT_TEST(deliversAnEarlyAnswerToAnUpload);
+    CPPUNIT_TEST(failsAtOnceOnAStatusOutsideTheProtocol);
     CPPUNIT_TEST_SUITE_END();
 
     static backend_reply answerWithId(const backend_request &request)
@@ -302,6 +304,30 @@
             }
         }
     }
+
+    /// Guards against such an answer that passes for an interim one, so that what follows it is taken for the answer.
+    void failsAtOnceOnAStatusOutsideTheProtocol()
+    {
+        const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        for (const std::string status : {"000", "001", "099", "600", "999"}) {
+            for (const std::string rest : {"Content-Length: 0\r\n\r\n", "Content-Length: 5\r\n\r\nhello", "\r\nuntil the end",
+                                           "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"}) {
+                exchange_fixture fixture([&, isFirst = true](const backend_request &request) mutable {
+                    const std::string id = "X-Id: " + std::string(request["X-Id"]) + "\r\n";
+                    return std::exchange(isFirst, false)
+                        ? backend_reply{sound, false, false}
+                        : backend_reply{"HTTP/1.1 " + status + " Odd\r\n" + id + rest + sound, false, false};
+                });
+                fixture.options.maxIdleTime = seconds(10);
+                fixture.run(getRequest());
+                const auto ended = fixture.run(getRequest(), seconds(1));
+                CPPUNIT_ASSERT_MESSAGE(status + " " + rest, ended && ended->outcome == exchange_outcome::mayHaveRun);
+                CPPUNIT_ASSERT_EQUAL(std::string("receive answer"), ended->failure.step);
+                CPPUNIT_ASSERT(ended->wasConnectionReused);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.connections.size());
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_tests);
--- a/tests/system/answer_tests.cpp
+++ b/tests/system/answer_tests.cpp
@@ -116,6 +116,9 @@
             head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
             head + "X-Long: " + std::string(20000, 'x') + "\r\nContent-Length: 2\r\n\r\nok",
             "garbage\r\n\r\n",
+            "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 099 Odd\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok",
         };
         test_deployment deployment(planOf(1, false));
         CPPUNIT_ASSERT(deployment.start());
--- a/tests/system/broken_answer_tests.cpp
+++ b/tests/system/broken_answer_tests.cpp
@@ -151,6 +151,7 @@
 {
     CPPUNIT_TEST_SUITE(broken_answer_tests);
     CPPUNIT_TEST(passesOnNoPartOfAnAnswerWhoseConnectionIsReset);
+    CPPUNIT_TEST(passesOnNoAnswerWhoseStatusIsOutsideTheProtocol);
     CPPUNIT_TEST(passesOnCompleteAnswers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +175,20 @@
                               resetting(node_fixture::sound("Flamingofield-Not-Executed: 1\r\n\r\npart", "503 Full")));
     }
 
+    void passesOnNoAnswerWhoseStatusIsOutsideTheProtocol()
+    {
+        node_fixture fixture;
+        for (const std::string status : {"000", "099", "600"}) {
+            const std::string name = "status " + status;
+            fixture.expectFailure(name + ", length", closing(node_fixture::sound("Content-Length: 5\r\n\r\nwhole", status + " Odd")));
+            fixture.expectFailure(name + ", kept open", {node_fixture::sound("Content-Length: 0\r\n\r\n", status + " Odd"), false, false});
+            fixture.expectFailure(name + ", no length", closing(node_fixture::sound("\r\nwhole", status + " Odd")));
+            fixture.expectFailure(
+                name + ", not executed",
+                closing(node_fixture::sound("Flamingofield-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status + " Odd")));
+        }
+    }
+
     void passesOnCompleteAnswers()
     {
         node_fixture fixture;
