Refuse folded lines in answers, which hide broken field names

What callers saw: in the head of an answer, a line whose field name began with a blank was joined to the value before it: of "Flamingofield-Response-Seal: seal" and " X-Odd: 1" the caller got the seal "seal X-Odd: 1". If the line was that of the length, the body was taken to the end of the connection.

Cause: Beast's parser reads a line that starts with a blank as the continuation of the line before (obs-fold), so such a name is never looked at.

Ruled out: blanks and control bytes elsewhere in a name, names with other bytes, without bytes or without a colon; the parser refuses all of these, and the exchange ended as one that may have run. They are in the tests, too.

Change: answer_parser refuses a folded line. Senders must not generate them, and RFC 9112, section 5.2, lets a gateway answer 502 in place of such an answer. Requests are read as before.

--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -1,14 +1,13 @@
 #include "http/exchange.hpp"
 
 #include "core/hash.hpp"
+#include "http/internal/answer_parser.hpp"
 #include "http/internal/chunk_extensions.hpp"
-#include "http/internal/received_body.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
@@ -47,8 +46,6 @@
     return milliseconds(static_cast<std::int64_t>(1000.0 * stated * keepAliveUsableShare));
 }
 
-using response_parser = http::response_parser<received_body>;
-
 } // namespace
 
 struct exchange::state
@@ -71,7 +68,7 @@
     peer_connection connection;
     asio::steady_timer connectTimer;
     boost::beast::flat_buffer buffer;
-    std::optional<response_parser> parser;
+    std::optional<answer_parser> parser;
     http_answer_message answer; ///< Its head, once that is complete.
     bool hasHead = false; ///< The head is complete.
     bool isKeepAlive = false; ///< According to the head.
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -1,4 +1,5 @@
 #include "http/exchange.hpp"
+#include "support/broken_answers.hpp"
 #include "support/scripted_backend.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -110,6 +111,7 @@
     CPPUNIT_TEST(failsIfAConnectionBreaksDuringAnUnframedAnswerToAnUpload);
     CPPUNIT_TEST(deliversAnEarlyAnswerToAnUpload);
     CPPUNIT_TEST(failsAtOnceOnAStatusOutsideTheProtocol);
+    CPPUNIT_TEST(failsAtOnceOnAFieldNameOutsideTheProtocol);
     CPPUNIT_TEST_SUITE_END();
 
     static backend_reply answerWithId(const backend_request &request)
@@ -328,6 +330,19 @@
             }
         }
     }
+
+    void failsAtOnceOnAFieldNameOutsideTheProtocol()
+    {
+        for (const std::string &answer : test_support::answersWithInvalidNames("Server: a\r\n")) {
+            for (const auto &request : {getRequest(), uploadRequest()}) {
+                exchange_fixture fixture([&answer](const backend_request &) { return backend_reply{answer, false, false}; });
+                fixture.backend.answersLongRequestsEarly = true;
+                const auto ended = fixture.run(request, seconds(1));
+                CPPUNIT_ASSERT_MESSAGE(answer, ended && ended->outcome == exchange_outcome::mayHaveRun);
+                CPPUNIT_ASSERT_EQUAL(std::string("receive answer"), ended->failure.step);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_tests);
--- a/tests/system/broken_answer_tests.cpp
+++ b/tests/system/broken_answer_tests.cpp
@@ -1,4 +1,5 @@
 #include "standins/platform_fleet.hpp"
+#include "support/broken_answers.hpp"
 #include "support/scripted_backend.hpp"
 #include "test_deployment.hpp"
 
@@ -152,6 +153,7 @@
     CPPUNIT_TEST_SUITE(broken_answer_tests);
     CPPUNIT_TEST(passesOnNoPartOfAnAnswerWhoseConnectionIsReset);
     CPPUNIT_TEST(passesOnNoAnswerWhoseStatusIsOutsideTheProtocol);
+    CPPUNIT_TEST(passesOnNoAnswerWithAnInvalidFieldName);
     CPPUNIT_TEST(passesOnCompleteAnswers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -189,6 +191,16 @@
         }
     }
 
+    void passesOnNoAnswerWithAnInvalidFieldName()
+    {
+        node_fixture fixture;
+        const std::string ownFields
+            = std::string(platform_fleet::requestIdField) + ": " + idPlace + "\r\n" + platform_fleet::sealField + ": seal\r\n";
+        for (const std::string &answer : test_support::answersWithInvalidNames(ownFields)) {
+            fixture.expectFailure(answer, closing(answer));
+        }
+    }
+
     void passesOnCompleteAnswers()
     {
         node_fixture fixture;
