Read answers of flamingod's peers as strictly as those of backend servers

What callers saw of flamingod: an answer whose head had a field name with a blank or a control byte was passed on as a complete one; with "Content-Length : 3" or a length of "5x" the body was not the server's. Chunks without their end of line, a chunk size that is no number, and interim answers other than 100 passed, too.

Cause: flamingod's client read answers with cpp-httplib, which drops or guesses what it doesn't understand: a line without a valid name is skipped or accepted, a length is read up to the first byte that is no digit, chunks end at the first line that is no chunk, and only status 100 counts as interim.

Ruled out: repairing it from outside; the library reports neither the lines that it skipped nor where it stopped.

Change: backend_client runs an exchange, the reader of flamingod-platform, on an event loop for each request, and keeps its pool, limits and blocking calls. So backend servers, other nodes, the store, health checks and the fleet query of flamingod have one reader with all of the other daemon's checks. An idle connection that turns out to be closed before a byte was sent is replaced at once; before, the request counted as one that may have run.

--- a/src/flamingofield/gate/backend_client.cpp
+++ b/src/flamingofield/gate/backend_client.cpp
@@ -1,43 +1,107 @@
 #include "gate/backend_client.hpp"
 
-#include "http/message.hpp"
+#include "http/exchange.hpp"
 
-#include <httplib.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
+#include <utility>
+
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace flamingofield {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr milliseconds minimumTimeout{1};
 
-struct pooled_connection
+/// Owns the socket of an idle connection, which belongs to no event loop.
+class idle_socket
 {
-    std::unique_ptr<httplib::ClientImpl> client;
+public:
+    explicit idle_socket(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+    idle_socket(idle_socket &&other) noexcept
+        : m_descriptor(other.release())
+    {
+    }
+    idle_socket &operator=(idle_socket &&other) noexcept
+    {
+        std::swap(m_descriptor, other.m_descriptor);
+        return *this;
+    }
+    idle_socket(const idle_socket &) = delete;
+    idle_socket &operator=(const idle_socket &) = delete;
+    ~idle_socket()
+    {
+        if (m_descriptor >= 0) {
+            ::close(m_descriptor);
+        }
+    }
+
+    int release()
+    {
+        return std::exchange(m_descriptor, -1);
+    }
+
+    /// True if the connection can be reused: the socket has nothing to read, neither unexpected bytes nor an end of stream.
+    bool isOpenWithoutInput() const
+    {
+        char byte = 0;
+        const ssize_t count = ::recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+private:
+    int m_descriptor;
+};
+
+struct idle_connection
+{
+    idle_socket socket;
     instant lastUsed;
 };
 
-/// True if the connection can be reused: the socket has nothing to read, neither unexpected bytes nor an end of stream.
-bool isOpenWithoutInput(const httplib::ClientImpl &client)
+/// True if the answer says where its body ends.
+bool hasFraming(const http_request_message &request, const http_answer_message &answer)
 {
-    char byte = 0;
-    const ssize_t count = ::recv(client.socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    const bool hasNoBody = request.method == "HEAD" || answer.status == 204 || answer.status == 304;
+    return hasNoBody || answer.fields.has("Content-Length") || answer.fields.has("Transfer-Encoding");
 }
 
-bool hasFraming(const httplib::Request &request, const httplib::Response &response)
+http_request_message toMessage(const endpoint &peer, const backend_request &request)
 {
-    const bool hasNoBody = request.method == "HEAD" || response.status == 204 || response.status == 304;
-    return hasNoBody || response.has_header("Content-Length") || response.has_header("Transfer-Encoding");
+    http_request_message message;
+    message.method = request.method;
+    message.target = request.target;
+    message.fields.add("Host", toString(peer));
+    for (const auto &[name, value] : request.headers) {
+        message.fields.add(name, value);
+    }
+    if (!request.contentType.empty()) {
+        message.fields.set("Content-Type", request.contentType);
+    }
+    message.body = request.body;
+    return message;
 }
 
-bool isTimeout(httplib::Error failure, instant deadline)
+backend_answer toAnswer(const http_answer_message &message)
 {
-    const bool canBeTimeout = failure == httplib::Error::Read || failure == httplib::Error::Canceled;
-    return canBeTimeout && std::chrono::steady_clock::now() + minimumTimeout >= deadline;
+    backend_answer answer;
+    answer.status = message.status;
+    answer.contentType = std::string(message.fields.value("Content-Type"));
+    answer.body = message.body.text();
+    answer.headers.insert(message.fields.all().begin(), message.fields.all().end());
+    return answer;
 }
 
 } // namespace
@@ -56,12 +120,25 @@
         if (now + minimumTimeout >= request.deadline) {
             return backend_not_sent{"the deadline had passed", true};
         }
-        pooled_connection pooled = request.requiresNewConnection ? pooled_connection{} : takeIdle(peer, now);
-        const bool isReused = pooled.client != nullptr;
-        if (!isReused) {
-            pooled.client = open(peer);
+        const http_request_message message = toMessage(peer, request);
+        exchange_result ended = run(peer, message, request.deadline, request.requiresNewConnection ? std::nullopt : takeIdle(peer, now));
+        if (ended.wasConnectionReused && ended.outcome == exchange_outcome::notSent && !ended.wasCancelled) {
+            // The peer had closed the idle connection.
+            ended = run(peer, message, request.deadline, std::nullopt);
+        }
+        const bool isReused = ended.wasConnectionReused;
+        if (ended.outcome == exchange_outcome::notSent) {
+            return backend_not_sent{ended.failure.step + ": " + ended.failure.reason, ended.wasCancelled || ended.hasConnectTimedOut};
+        }
+        if (ended.outcome == exchange_outcome::mayHaveRun) {
+            return backend_outcome_unknown{ended.failure.reason, ended.wasCancelled, isReused};
         }
-        return exchange(peer, request, std::move(pooled), isReused);
+        if (!hasFraming(message, ended.answer)) {
+            return backend_outcome_unknown{"the answer declares no length, so a cut could not be told", false, isReused};
+        }
+        backend_answer answer = toAnswer(ended.answer);
+        answer.wasConnectionReused = isReused;
+        return answer;
     }
 
     void closeIdleConnections(const endpoint &peer)
@@ -71,102 +148,72 @@
     }
 
 private:
-    std::unique_ptr<httplib::ClientImpl> open(const endpoint &peer) const
+    /// Runs one exchange on an event loop of its own and keeps its connection if it can be reused.
+    exchange_result run(const endpoint &peer, const http_request_message &message, instant deadline, std::optional<idle_socket> idle)
     {
-        auto client = std::make_unique<httplib::ClientImpl>(peer.host, peer.port);
-        client->set_keep_alive(true);
-        client->set_tcp_nodelay(true);
-        client->set_follow_location(false);
-        client->set_url_encode(false);
-        client->set_decompress(false);
-        return client;
+        const instant now = std::chrono::steady_clock::now();
+        asio::io_context loop{1};
+        connection_pool connections;
+        exchange_options options;
+        options.poolKey = toString(peer);
+        options.maxAnswerBytes = m_limits.maxAnswerBytes;
+        options.maxHeadBytes = m_limits.maxHeadBytes;
+        options.connectTimeout
+            = std::chrono::duration_cast<milliseconds>(std::clamp<duration>(deadline - now, minimumTimeout, m_limits.connectTimeout));
+        options.unacknowledgedTimeout = milliseconds(0); // The default of the system; the deadline limits the exchange.
+        if (idle) {
+            peer_connection connection(loop);
+            boost::system::error_code failure; // The exchange then opens a new connection.
+            connection.socket.assign(asio::ip::tcp::v4(), idle->release(), failure);
+            connections.put(options.poolKey, std::move(connection), m_limits.maxIdleTime, now);
+            options.maxIdleTime = m_limits.maxIdleTime;
+        }
+        std::optional<exchange_result> ended;
+        const auto current = std::make_shared<exchange>(loop, connections, peer, options);
+        current->start(message, [&ended](exchange_result result) { ended = std::move(result); });
+        asio::steady_timer timer(loop, deadline);
+        timer.async_wait([&current](boost::system::error_code aborted) {
+            if (!aborted) {
+                current->cancel();
+            }
+        });
+        while (!ended) {
+            loop.run_one();
+        }
+        peer_connection kept(loop);
+        if (connections.take(options.poolKey, m_limits.maxIdleTime, std::nullopt, std::chrono::steady_clock::now(), kept)) {
+            boost::system::error_code failure;
+            keepIdle(peer, idle_socket(kept.socket.release(failure)));
+        }
+        return std::move(*ended);
     }
 
-    pooled_connection takeIdle(const endpoint &peer, instant now)
+    std::optional<idle_socket> takeIdle(const endpoint &peer, instant now)
     {
         const std::lock_guard lock(m_mutex);
         auto &idle = m_idle[toString(peer)];
         while (!idle.empty()) {
-            pooled_connection pooled = std::move(idle.back());
+            idle_connection connection = std::move(idle.back());
             idle.pop_back();
-            if (now - pooled.lastUsed < m_limits.maxIdleTime && isOpenWithoutInput(*pooled.client)) {
-                return pooled;
+            if (now - connection.lastUsed < m_limits.maxIdleTime && connection.socket.isOpenWithoutInput()) {
+                return std::move(connection.socket);
             }
         }
-        return {};
+        return std::nullopt;
     }
 
-    void keepIdle(const endpoint &peer, pooled_connection pooled)
+    void keepIdle(const endpoint &peer, idle_socket socket)
     {
-        pooled.lastUsed = std::chrono::steady_clock::now();
         const std::lock_guard lock(m_mutex);
         auto &idle = m_idle[toString(peer)];
         if (idle.size() < m_limits.maxIdlePerPeer) {
-            idle.push_back(std::move(pooled));
-        }
-    }
-
-    static httplib::Request toLibraryRequest(const backend_request &request, std::size_t maxAnswerBytes)
-    {
-        httplib::Request translated;
-        translated.method = request.method;
-        translated.path = request.target;
-        translated.body = request.body;
-        for (const auto &[name, value] : request.headers) {
-            translated.headers.emplace(name, value);
+            idle.push_back({std::move(socket), std::chrono::steady_clock::now()});
         }
-        if (!request.contentType.empty()) {
-            translated.set_header("Content-Type", request.contentType);
-        }
-        const instant deadline = request.deadline;
-        translated.progress = [deadline, maxAnswerBytes](std::uint64_t current, std::uint64_t total) {
-            return std::max(current, total) <= maxAnswerBytes && std::chrono::steady_clock::now() < deadline;
-        };
-        return translated;
-    }
-
-    backend_result exchange(const endpoint &peer, const backend_request &request, pooled_connection pooled, bool isReused)
-    {
-        const instant now = std::chrono::steady_clock::now();
-        const duration timeout = std::max<duration>(request.deadline - now, minimumTimeout);
-        const duration connectTimeout = std::min(timeout, m_limits.connectTimeout);
-        pooled.client->set_connection_timeout(connectTimeout);
-        pooled.client->set_read_timeout(timeout);
-        pooled.client->set_write_timeout(timeout);
-        httplib::Request translated = toLibraryRequest(request, m_limits.maxAnswerBytes);
-        httplib::Response response;
-        httplib::Error failure = httplib::Error::Success;
-        const bool isSent = pooled.client->send(translated, response, failure);
-        if (!isSent) {
-            if (!isReused && (failure == httplib::Error::Connection || failure == httplib::Error::ConnectionTimeout)) {
-                // The library reports a timeout and a refusal alike.
-                const bool timedOut = std::chrono::steady_clock::now() - now + minimumTimeout >= connectTimeout;
-                return backend_not_sent{"connect: " + httplib::to_string(failure), timedOut};
-            }
-            return backend_outcome_unknown{httplib::to_string(failure), isTimeout(failure, request.deadline), isReused};
-        }
-        if (!isValidStatus(response.status)) {
-            return backend_outcome_unknown{"the answer has the invalid status " + std::to_string(response.status), false, isReused};
-        }
-        if (!hasFraming(translated, response)) {
-            return backend_outcome_unknown{"the answer declares no length, so a cut could not be told", false, isReused};
-        }
-        backend_answer answer;
-        answer.status = response.status;
-        answer.contentType = response.get_header_value("Content-Type");
-        answer.body = std::move(response.body);
-        answer.headers.insert(response.headers.begin(), response.headers.end());
-        answer.wasConnectionReused = isReused;
-        const bool canReuse = !request.requiresNewConnection && pooled.client->is_socket_open() != 0 && isOpenWithoutInput(*pooled.client);
-        if (canReuse) {
-            keepIdle(peer, std::move(pooled));
-        }
-        return answer;
     }
 
     backend_limits m_limits;
     std::mutex m_mutex;
-    std::unordered_map<std::string, std::deque<pooled_connection>> m_idle;
+    std::unordered_map<std::string, std::deque<idle_connection>> m_idle;
 };
 
 backend_client::backend_client(backend_limits limits)
--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -29,10 +29,9 @@
 constexpr double keepAliveUsableShare = 0.6;
 /// Interim answers and answers to other requests that are skipped before the exchange fails.
 constexpr int maxSkippedAnswers = 3;
-constexpr std::size_t maxHeaderBytes = 64U << 10U;
 /// Bytes that are received but not parsed yet. The parser takes a head, a chunk header and a trailer only as a whole, so this bounds each
 /// of them. Beast's read operations return only when the parser has taken something, so no check between two of them would.
-constexpr std::size_t maxUnparsedBytes = maxHeaderBytes;
+constexpr std::size_t maxUnparsedBytes = 64U << 10U;
 
 duration keepAliveOf(std::string_view value)
 {
@@ -134,7 +133,10 @@
     s.connectTimer.expires_after(s.options.connectTimeout);
     s.connectTimer.async_wait([self = shared_from_this()](error_code aborted) {
         if (!aborted) {
-            self->fail("connect", "no connection within " + std::to_string(self->m_state->options.connectTimeout.count()) + " ms");
+            exchange_result late;
+            late.hasConnectTimedOut = true;
+            self->fail("connect", "no connection within " + std::to_string(self->m_state->options.connectTimeout.count()) + " ms",
+                       std::move(late));
         }
     });
     s.connection.socket.async_connect({address, s.peer.port}, [self = shared_from_this()](error_code refused) {
@@ -178,7 +180,7 @@
     s.hasHead = false;
     s.parser->get().body().maxBytes = s.options.maxAnswerBytes;
     s.parser->body_limit(s.options.maxAnswerBytes);
-    s.parser->header_limit(maxHeaderBytes);
+    s.parser->header_limit(static_cast<std::uint32_t>(std::min(s.options.maxHeadBytes, maxUnparsedBytes)));
     s.parser->skip(s.isHeadRequest);
     refuseControlCharactersInExtensions(*s.parser);
     // Stops after the head, whose declared length is checked before any byte of the body is received.
--- a/src/flamingofield/http/exchange.hpp
+++ b/src/flamingofield/http/exchange.hpp
@@ -32,6 +32,7 @@
     duration idleTime{}; ///< How long a reused connection had been idle.
     std::optional<duration> connectTime; ///< Time that a new connection took, about one round trip; empty if none was made.
     bool wasCancelled = false; ///< Ended by cancel().
+    bool hasConnectTimedOut = false; ///< No connection was made within the timeout; it was not refused.
     bool wasClosedByPeer = false; ///< The peer closed or reset the connection before its answer was complete.
     bool wasMemoryRefused = false; ///< The answer did not fit into the memory budget, which is no fault of the peer.
 };
@@ -48,6 +49,7 @@
     /// has carried its id.
     std::string requestIdField;
     std::size_t maxAnswerBytes = 16U << 20U;
+    std::size_t maxHeadBytes = 64U << 10U; ///< At most 64 KiB.
     std::shared_ptr<memory_budget> memory; ///< Bounds the memory of answers, together with other holders; null for no bound.
 };
 
--- /dev/null
+++ b/tests/gate/backend_client_tests.cpp
@@ -0,0 +1,62 @@
+#include "gate/backend_client.hpp"
+#include "raw_answer_server.hpp"
+#include "support/broken_answers.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <unistd.h>
+
+using namespace flamingofield;
+using standins::raw_answer_server;
+
+namespace {
+
+constexpr std::uint16_t port = 7410;
+
+class backend_client_tests : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(backend_client_tests);
+    CPPUNIT_TEST(refusesFieldNamesOutsideTheProtocol);
+    CPPUNIT_TEST(refusesBodiesWhoseEndIsNotCertain);
+    CPPUNIT_TEST_SUITE_END();
+
+    static endpoint serverAddress()
+    {
+        return {"127." + std::to_string(30 + getpid() % 180) + ".8.1", port};
+    }
+
+    static backend_result get(backend_client &client, milliseconds timeout = seconds(1))
+    {
+        backend_request request;
+        request.method = "GET";
+        request.target = "/";
+        request.deadline = std::chrono::steady_clock::now() + timeout;
+        return client.send(serverAddress(), request);
+    }
+
+    static void expectFailures(const std::vector<std::string> &answers)
+    {
+        for (const std::string &answer : answers) {
+            for (const bool closes : {false, true}) {
+                raw_answer_server server(answer, closes);
+                CPPUNIT_ASSERT(server.start(serverAddress()));
+                backend_client client({});
+                CPPUNIT_ASSERT_MESSAGE(answer, std::holds_alternative<backend_outcome_unknown>(get(client)));
+            }
+        }
+    }
+
+    void refusesFieldNamesOutsideTheProtocol()
+    {
+        expectFailures(test_support::answersWithInvalidNames());
+    }
+
+    void refusesBodiesWhoseEndIsNotCertain()
+    {
+        expectFailures(test_support::answersWithInvalidBodies());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(backend_client_tests);
+
+} // namespace
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -112,6 +112,7 @@
     CPPUNIT_TEST(deliversAnEarlyAnswerToAnUpload);
     CPPUNIT_TEST(failsAtOnceOnAStatusOutsideTheProtocol);
     CPPUNIT_TEST(failsAtOnceOnAFieldNameOutsideTheProtocol);
+    CPPUNIT_TEST(failsOnABodyWhoseEndIsNotCertain);
     CPPUNIT_TEST_SUITE_END();
 
     static backend_reply answerWithId(const backend_request &request)
@@ -331,11 +332,11 @@
         }
     }
 
-    void failsAtOnceOnAFieldNameOutsideTheProtocol()
+    static void expectFailures(const std::vector<std::string> &answers, bool closesConnection)
     {
-        for (const std::string &answer : test_support::answersWithInvalidNames("Server: a\r\n")) {
+        for (const std::string &answer : answers) {
             for (const auto &request : {getRequest(), uploadRequest()}) {
-                exchange_fixture fixture([&answer](const backend_request &) { return backend_reply{answer, false, false}; });
+                exchange_fixture fixture([&](const backend_request &) { return backend_reply{answer, closesConnection, false}; });
                 fixture.backend.answersLongRequestsEarly = true;
                 const auto ended = fixture.run(request, seconds(1));
                 CPPUNIT_ASSERT_MESSAGE(answer, ended && ended->outcome == exchange_outcome::mayHaveRun);
@@ -343,6 +344,16 @@
             }
         }
     }
+
+    void failsAtOnceOnAFieldNameOutsideTheProtocol()
+    {
+        expectFailures(test_support::answersWithInvalidNames("Server: a\r\n"), false);
+    }
+
+    void failsOnABodyWhoseEndIsNotCertain()
+    {
+        expectFailures(test_support::answersWithInvalidBodies(), true);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_tests);
--- a/tests/support/broken_answers.hpp
+++ b/tests/support/broken_answers.hpp
@@ -37,4 +37,27 @@
     return answers;
 }
 
+/// Answers with a success whose length or chunks are invalid (RFC 9112, sections 6 and 7), or whose status is only interim.
+inline std::vector<std::string> answersWithInvalidBodies()
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string sized = "Content-Length: 5\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    std::vector<std::string> answers;
+    for (const std::string length : {"5x", "x5", "+5", "-5", "0x5", "", "5, 6", "5 5", "99999999999999999999"}) {
+        answers.push_back(head + "Content-Length: " + length + "\r\n\r\nwhole");
+    }
+    answers.push_back(head + sized + "Content-Length: 3\r\n\r\nwhole");
+    answers.push_back(head + sized + chunked + "\r\n5\r\nwhole\r\n0\r\n\r\n");
+    for (const std::string body : {"5\r\nwholeX\r\n0\r\n\r\n", "5\r\nwhole0\r\n\r\n", "4\r\nwhole\r\n0\r\n\r\n", "zz\r\n\r\n",
+                                   "5\r\nwhole\r\nzz\r\n\r\n", "\r\n\r\n", "-5\r\nwhole\r\n0\r\n\r\n", "0x5\r\nwhole\r\n0\r\n\r\n",
+                                   "5 5\r\nwhole\r\n0\r\n\r\n", "5\r\nwhole\r\n0 0\r\n\r\n", "5\r\nwhole\r\n0\r\nX Odd: 1\r\n\r\n"}) {
+        answers.push_back(head + chunked + "\r\n" + body);
+    }
+    for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints"}) {
+        answers.push_back("HTTP/1.1 " + status + "\r\n" + sized + "\r\n");
+    }
+    return answers;
+}
+
 } // namespace test_support
