Promise "not run" in flamingod only if no send of a request may have run

What callers saw of flamingod: a request that may be repeated was answered 503 with the outcome "not run" after a backend server had answered it brokenly on a kept connection and then refused the next one; likewise after a member of the service had died with the request, and the other member could not be reached.

Cause: the promise was made from the last send alone. A send on a new connection after a lost one on a kept connection replaced its result, and so did the second member's.

Ruled out: requests that must run at most once; they are sent once, on a new connection.

Change: an attempt says whether any of its sends may have run, and the status follows (503 only with "not run"). If an answer from one member was lost, "not run" from the next is replaced by the loss.

--- a/src/flamingofield/gate/problem.cpp
+++ b/src/flamingofield/gate/problem.cpp
@@ -4,6 +4,12 @@
 
 namespace flamingofield {
 
+namespace {
+
+constexpr auto problemType = "application/problem+json";
+
+} // namespace
+
 const char *toString(work_outcome outcome)
 {
     return outcome == work_outcome::notRun ? "not run" : "unknown";
@@ -20,7 +26,7 @@
     }
     http_answer answer;
     answer.status = p.status;
-    answer.contentType = "application/problem+json";
+    answer.contentType = problemType;
     if (p.retryAfterMs > 0) {
         body["retryAfterMs"] = p.retryAfterMs;
         answer.headers.emplace("Retry-After", std::to_string((p.retryAfterMs + 999) / 1000));
@@ -29,4 +35,10 @@
     return answer;
 }
 
+bool promisesNotRun(const http_answer &answer)
+{
+    const auto body = answer.contentType == problemType ? nlohmann::json::parse(answer.body, nullptr, false) : nlohmann::json();
+    return body.is_object() && body.value("outcome", nlohmann::json()) == toString(work_outcome::notRun);
+}
+
 } // namespace flamingofield
--- a/src/flamingofield/gate/problem.hpp
+++ b/src/flamingofield/gate/problem.hpp
@@ -26,4 +26,7 @@
 /// Encodes a problem as application/problem+json.
 http_answer toAnswer(const problem &p);
 
+/// True if an answer of this node or another one is a problem whose outcome is "not run".
+bool promisesNotRun(const http_answer &answer);
+
 } // namespace flamingofield
--- a/src/flamingofield/gate/request_handler.cpp
+++ b/src/flamingofield/gate/request_handler.cpp
@@ -113,6 +113,7 @@
     backend_result result;
     bool isShed = false;
     bool isSuccess = false;
+    bool mayHaveRun = false; ///< Also if an earlier send of the same attempt may have run and this one has not.
 };
 
 request_handler::request_handler(request_context context)
@@ -302,13 +303,13 @@
             return toClientAnswer(std::get<backend_answer>(result.result));
         }
         excludedTargets |= target < 64 ? std::uint64_t{1} << target : 0;
-        const bool isSent = !std::holds_alternative<backend_not_sent>(result.result) && !result.isShed;
-        mayHaveRun = mayHaveRun || isSent;
+        mayHaveRun = mayHaveRun || result.mayHaveRun;
         const auto *answer = std::get_if<backend_answer>(&result.result);
         last.peer = toString(routed.view.targets[target]);
         last.step = "await answer";
         last.detail = answer != nullptr ? "status " + std::to_string(answer->status) : "no whole answer";
-        last.status = result.isShed || !isSent ? 503 : answer != nullptr ? 502 : 504;
+        const bool hasAnswered = answer != nullptr && !result.isShed;
+        last.status = hasAnswered ? 502 : mayHaveRun ? 504 : 503;
     }
     last.outcome = mayHaveRun ? work_outcome::unknown : work_outcome::notRun;
     return toAnswer(last);
@@ -330,6 +331,7 @@
         done.isShed = isShed(*answer);
         done.isSuccess = answer->status < 500;
     }
+    done.mayHaveRun = !std::holds_alternative<backend_not_sent>(done.result) && !done.isShed;
     const auto *unknown = std::get_if<backend_outcome_unknown>(&done.result);
     routed.view.admission->release(target, routed.rank, done.isSuccess, done.isShed);
     if (unknown != nullptr && unknown->wasConnectionReused && routed.route.idempotent
@@ -349,6 +351,7 @@
         m_context.counters.add(counter::silentConnections);
         m_context.targets.closeIdleConnections(routed.view.targets[target]);
     }
+    second.mayHaveRun = true;
     return second;
 }
 
@@ -450,6 +453,7 @@
     }
     http_answer answer
         = toAnswer({503, work_outcome::notRun, "no member of the service is known", "forward", routed.service.name, retryAfterMs});
+    std::optional<http_answer> lost; ///< Says that a member may have run the request.
     const std::size_t count = routed.view.members.size();
     for (std::size_t i = 0; i < std::min<std::size_t>(count, 2); ++i) {
         const node_view &member = routed.view.members[(routed.caller + i) % count];
@@ -457,6 +461,12 @@
         if (answer.headers.count("Flamingo-Node") != 0) {
             break;
         }
+        if (!promisesNotRun(answer)) {
+            lost = answer;
+        }
+    }
+    if (lost && promisesNotRun(answer)) {
+        answer = *lost;
     }
     answer.headers.emplace("Flamingo-Members", names);
     return answer;
--- a/tests/support/scripted_backend.hpp
+++ b/tests/support/scripted_backend.hpp
@@ -49,6 +49,12 @@
         accept();
     }
 
+    /// Refuses further connections.
+    void stopAccepting()
+    {
+        m_acceptor.close();
+    }
+
     std::vector<backend_request> requests;
     int connections = 0;
     std::size_t endlessBytesSent = 0;
--- a/tests/system/answer_tests.cpp
+++ b/tests/system/answer_tests.cpp
@@ -1,6 +1,7 @@
 #include "caller.hpp"
 #include "connection_burst.hpp"
 #include "raw_answer_server.hpp"
+#include "support/scripted_backend.hpp"
 #include "support/test_seed.hpp"
 #include "test_deployment.hpp"
 
@@ -17,6 +18,7 @@
 using namespace standins;
 using flamingofield::milliseconds;
 using flamingofield::seconds;
+using test_support::scripted_backend;
 
 namespace {
 
@@ -31,6 +33,8 @@
     CPPUNIT_TEST(returnsToEachCallerTheAnswerToItsOwnRequest);
     CPPUNIT_TEST(neverForwardsAnAnswerTruncatedAtAnyByte);
     CPPUNIT_TEST(rejectsIncompleteAndMalformedAnswers);
+    CPPUNIT_TEST(promisesNothingAfterABrokenAnswerOnAReusedConnection);
+    CPPUNIT_TEST(promisesNothingWhenAMemberDiesWithARequestAndTheOtherIsGone);
     CPPUNIT_TEST(rejectsInvalidRequestsWithoutAffectingOtherCallers);
     CPPUNIT_TEST(servesNewCallersWhileIdleAndSlowOnesHoldConnections);
     CPPUNIT_TEST(acceptsABurstOfConnectionsWhileTheProcessIsPaused);
@@ -137,6 +141,83 @@
         }
     }
 
+    /// Guards against a failure to connect in the second attempt that hides that the first one may have run.
+    void promisesNothingAfterABrokenAnswerOnAReusedConnection()
+    {
+        test_deployment deployment(planOf(1, false));
+        CPPUNIT_ASSERT(deployment.start());
+        deployment.targets().front().server->stop();
+        boost::asio::io_context loop{1};
+        std::unique_ptr<scripted_backend> target;
+        std::atomic<int> brokenAnswers{0};
+        target = std::make_unique<scripted_backend>(loop, deployment.targets().front().address,
+                                                    [&](const test_support::backend_request &request) -> test_support::backend_reply {
+                                                        if (request.target() != "/wilgoc/read/broken") {
+                                                            return {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false, false};
+                                                        }
+                                                        ++brokenAnswers;
+                                                        target->stopAccepting();
+                                                        return {"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}", true, false};
+                                                    });
+        auto serving = std::async(std::launch::async, [&] { loop.run(); });
+        caller client(deployment.gates());
+        caller_request request;
+        request.entry = deployment.nodes().front().gate;
+        request.target = "/wilgoc/read/sound";
+        const bool isServed = awaitTrue([&] { return client.send("wilgoc", request).status == 200; }, seconds(5));
+        request.target = "/wilgoc/read/broken";
+        const caller_result got = client.send("wilgoc", request);
+        loop.stop();
+        serving.get();
+        CPPUNIT_ASSERT(isServed);
+        CPPUNIT_ASSERT_EQUAL(1, brokenAnswers.load());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, std::string("unknown"), got.outcome);
+    }
+
+    /// Sends a request through a node that is no member of the service, and kills both members one after the other while it runs.
+    static caller_result sendAndKillMembers(bool isReversed)
+    {
+        deployment_plan plan = planOf(1, false);
+        plan.dataCentres = 1;
+        test_deployment deployment(plan);
+        CPPUNIT_ASSERT(deployment.start());
+        backend_behaviour slow;
+        slow.serviceTime = milliseconds(1500);
+        deployment.targets().front().server->setBehaviour(slow);
+        std::vector<std::size_t> members;
+        caller_request request;
+        for (std::size_t i = 0; i < deployment.nodes().size(); ++i) {
+            const auto page = nlohmann::json::parse(deployment.status(i), nullptr, false);
+            if (page["services"][0]["member"].get<bool>()) {
+                members.push_back(i);
+            } else {
+                request.entry = deployment.nodes()[i].gate;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), members.size());
+        if (isReversed) {
+            std::swap(members[0], members[1]);
+        }
+        caller client(deployment.gates());
+        request.target = "/wilgoc/read/1";
+        auto answer = std::async(std::launch::async, [&] { return client.send("wilgoc", request); });
+        for (const std::size_t member : members) {
+            std::this_thread::sleep_for(milliseconds(150));
+            deployment.nodes()[member].process.signal(SIGKILL);
+        }
+        return answer.get();
+    }
+
+    /// Guards against a failure to reach the second member that hides that the first one has passed the request on. Only in one of the
+    /// orders is the member without the request killed first.
+    void promisesNothingWhenAMemberDiesWithARequestAndTheOtherIsGone()
+    {
+        for (const bool isReversed : {false, true}) {
+            const caller_result got = sendAndKillMembers(isReversed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body + got.detail, std::string("unknown"), got.outcome);
+        }
+    }
+
     void rejectsInvalidRequestsWithoutAffectingOtherCallers()
     {
         test_deployment deployment(planOf(4, false));
