Test answers whose head ends at any byte

Report of other operators: a server stops in the middle of its answer's head and closes, and callers get a 200 with an empty or short body. It can't happen here: an end of the stream within a head is an error for both readers. No change of the product.

--- a/tests/gate/backend_client_tests.cpp
+++ b/tests/gate/backend_client_tests.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(backend_client_tests);
     CPPUNIT_TEST(refusesFieldNamesOutsideTheProtocol);
     CPPUNIT_TEST(refusesBodiesWhoseEndIsNotCertain);
+    CPPUNIT_TEST(refusesHeadsThatEndAtAnyByte);
     CPPUNIT_TEST_SUITE_END();
 
     static endpoint serverAddress()
@@ -55,6 +56,17 @@
     {
         expectFailures(test_support::answersWithInvalidBodies());
     }
+
+    void refusesHeadsThatEndAtAnyByte()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n";
+        for (std::size_t length = 1; length < head.size(); ++length) {
+            raw_answer_server server(head.substr(0, length), true);
+            CPPUNIT_ASSERT(server.start(serverAddress()));
+            backend_client client({});
+            CPPUNIT_ASSERT_MESSAGE(head.substr(0, length), std::holds_alternative<backend_outcome_unknown>(get(client)));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(backend_client_tests);
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(failsAtOnceOnAStatusOutsideTheProtocol);
     CPPUNIT_TEST(failsAtOnceOnAFieldNameOutsideTheProtocol);
     CPPUNIT_TEST(failsOnABodyWhoseEndIsNotCertain);
+    CPPUNIT_TEST(failsOnAHeadThatEndsAtAnyByte);
     CPPUNIT_TEST_SUITE_END();
 
     static backend_reply answerWithId(const backend_request &request)
@@ -354,6 +355,31 @@
     {
         expectFailures(test_support::answersWithInvalidBodies(), true);
     }
+
+    void failsOnAHeadThatEndsAtAnyByte()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\n";
+        for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+            for (const std::string method : {"GET", "HEAD", "POST"}) {
+                for (std::size_t length = 0; length < head.size(); ++length) {
+                    const bool isReset = length % 2 == 0;
+                    exchange_fixture fixture([&](const backend_request &request) {
+                        return request["X-Id"] == "r0" ? answerWithId(request)
+                                                       : backend_reply{before + head.substr(0, length), !isReset, isReset};
+                    });
+                    fixture.options.requestIdField = "X-Id";
+                    fixture.options.maxIdleTime = seconds(10);
+                    fixture.run(getRequest("r0"));
+                    http_request_message request = getRequest();
+                    request.method = method;
+                    const auto ended = fixture.run(request, seconds(1));
+                    const std::string name = method + ", " + before + head.substr(0, length);
+                    CPPUNIT_ASSERT_MESSAGE(name, ended && ended->outcome == exchange_outcome::mayHaveRun);
+                    CPPUNIT_ASSERT_MESSAGE(name, ended->wasClosedByPeer && ended->wasConnectionReused);
+                }
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_tests);
--- a/tests/system/broken_answer_tests.cpp
+++ b/tests/system/broken_answer_tests.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <mutex>
 #include <thread>
 
@@ -154,6 +155,7 @@
     CPPUNIT_TEST(passesOnNoPartOfAnAnswerWhoseConnectionIsReset);
     CPPUNIT_TEST(passesOnNoAnswerWhoseStatusIsOutsideTheProtocol);
     CPPUNIT_TEST(passesOnNoAnswerWithAnInvalidFieldName);
+    CPPUNIT_TEST(passesOnNoAnswerWhoseHeadIsCut);
     CPPUNIT_TEST(passesOnCompleteAnswers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -201,6 +203,16 @@
         }
     }
 
+    void passesOnNoAnswerWhoseHeadIsCut()
+    {
+        node_fixture fixture;
+        const std::string head = node_fixture::sound("Content-Length: 5\r\n\r\n");
+        for (std::size_t length = head.size() - 1; length > 0; length -= std::min<std::size_t>(length, 7)) {
+            const std::string part = head.substr(0, length);
+            fixture.expectFailure(part, length % 2 == 0 ? closing(part) : resetting(part));
+        }
+    }
+
     void passesOnCompleteAnswers()
     {
         node_fixture fixture;
