Mutate answers to uploads, statuses and field names

The mutation program sent answers to short requests only, so a reset never met a pending write, and its reference parser took any three digits for a status and joined folded lines of answers. Now an eighth of the exchanges send a long upload that the other side doesn't read, a mutation replaces a status, the tokens have broken field names, and the reference refuses statuses outside 100 to 599 and folded lines of answers.

--- a/tests/mutation/main.cpp
+++ b/tests/mutation/main.cpp
@@ -69,7 +69,11 @@
     = "\r\n|\n|\r|\r\n\r\n|0\r\n\r\n| |\t|:|,|;|-1|+1|0x5|00000000000000000005|ffffffffffffffff|18446744073709551616|4294967297|"
       "Content-Length: 5\r\n|Content-Length: 6\r\n|Transfer-Encoding: chunked\r\n|Transfer-Encoding: gzip\r\n|"
       "transfer-encoding: gzip, chunked\r\n|Connection: close\r\n|Keep-Alive: timeout=2147483647\r\n|"
-      "Expect: 100-continue\r\n|HTTP/1.0|HTTP/1.1 100 Continue\r\n\r\n|GET / HTTP/1.1\r\n\r\n|";
+      "Expect: 100-continue\r\n|HTTP/1.0|HTTP/1.1 100 Continue\r\n\r\n|GET / HTTP/1.1\r\n\r\n|"
+      "\x01|X Odd: 1\r\n| X-Odd: 1\r\n|Content-Length : 5\r\n|\tTransfer-Encoding: chunked\r\n|";
+const strings statuses{"000", "001", "099", "199", "204", "304", "599", "600", "999"};
+/// Body of a request that is longer than the sockets of both sides hold.
+const http_body upload(std::string(8U << 20U, 'u'));
 
 /// Draws a number below a limit, which is at least 1; the same one on all platforms.
 std::size_t below(generator &random, std::size_t limit)
@@ -86,7 +90,7 @@
     const std::size_t tokenStart = tokens.rfind('|', below(random, tokens.size() - 1)) + 1;
     const std::string token = tokens.substr(tokenStart, tokens.find('|', tokenStart) - tokenStart);
     const auto byte = static_cast<char>(random());
-    const std::size_t kind = below(random, 6);
+    const std::size_t kind = below(random, 7);
     if (kind == 0) {
         bytes.replace(at, count, below(random, 2) == 0 ? token : "");
     } else if (kind == 1) {
@@ -97,6 +101,12 @@
         bytes.insert(line, std::string(below(random, 20000), byte));
     } else if (kind == 4) {
         bytes.replace(at, std::min<std::size_t>(1, count), 1, byte);
+    } else if (kind == 5) {
+        const std::string version = "HTTP/1.1 ";
+        const auto found = std::min(bytes.find(version, at), bytes.find(version));
+        if (found != std::string::npos) {
+            bytes.replace(found + version.size(), 3, statuses[below(random, statuses.size())]);
+        }
     } else {
         bytes.resize(below(random, 4) == 0 ? at : bytes.size());
     }
@@ -299,11 +309,16 @@
     options.maxAnswerBytes = bodyLimit;
     options.memory = drawBudget(random, isAmple);
     http_request_message request;
-    request.method = below(random, 8) == 0 ? "HEAD" : "GET";
+    const bool isUpload = below(random, 8) == 0;
+    request.method = isUpload ? "POST" : below(random, 8) == 0 ? "HEAD" : "GET";
+    request.body = isUpload ? upload : http_body();
     request.target = "/read/";
     request.fields.add("X-Id", "r1");
     std::vector<exchange_result> results;
     tcp::acceptor acceptor(server.loop, server.place);
+    if (isUpload) {
+        acceptor.set_option(asio::socket_base::receive_buffer_size(8192)); // Not read, so that the answer is an early one.
+    }
     const auto run = std::make_shared<exchange>(server.loop, pool, server.address, options);
     run->start(request, [&](exchange_result result) { results.push_back(std::move(result)); });
     acceptor.async_accept(server.socket, [](boost::system::error_code) {});
--- a/tests/mutation/reference_parser.cpp
+++ b/tests/mutation/reference_parser.cpp
@@ -52,15 +52,16 @@
     return line;
 }
 
-/// Takes fields and the empty line after them. A folded value becomes one line, with the white space at the fold left out.
-bool takeFields(std::string_view &bytes, std::vector<std::pair<std::string, std::string>> &fields)
+/// Takes fields and the empty line after them. A folded value of a request becomes one line, with the white space at the fold left out;
+/// answers must not have any.
+bool takeFields(std::string_view &bytes, bool isRequest, std::vector<std::pair<std::string, std::string>> &fields)
 {
     while (const auto line = takeLine(bytes)) {
         if (line->empty()) {
             return true;
         }
         const auto colon = line->find(':');
-        if (!fields.empty() && (line->front() == ' ' || line->front() == '\t')) {
+        if (isRequest && !fields.empty() && (line->front() == ' ' || line->front() == '\t')) {
             std::string &value = fields.back().second;
             value = trimmed(value + ' ' + trimmed(*line));
         } else if (colon != std::string::npos && isToken(line->substr(0, colon))) {
@@ -92,7 +93,7 @@
     return true;
 }
 
-bool takeChunks(std::string_view &bytes, std::string &body)
+bool takeChunks(std::string_view &bytes, bool isRequest, std::string &body)
 {
     while (const auto line = takeLine(bytes)) {
         const auto sizeEnd = std::min(line->find_first_not_of(hexDigits), line->size());
@@ -103,7 +104,7 @@
         const auto size = numberOf(line->substr(0, sizeEnd), 16);
         if (size == std::size_t(0)) {
             std::vector<std::pair<std::string, std::string>> trailer;
-            return takeFields(bytes, trailer);
+            return takeFields(bytes, isRequest, trailer);
         }
         std::string end;
         if (!size || !takeBytes(bytes, *size, body) || !takeBytes(bytes, lineEnd.size(), end) || end != lineEnd) {
@@ -140,7 +141,7 @@
         return true;
     }
     if (isChunked) {
-        return takeChunks(bytes, message.body);
+        return takeChunks(bytes, source.isRequest, message.body);
     }
     if (!lengths.empty() || source.isRequest) {
         return takeBytes(bytes, *length, message.body);
@@ -153,7 +154,9 @@
 {
     if (!isRequest) {
         essential = line.substr(std::min<std::size_t>(line.size(), 9), 3);
-        return line.size() > 12 && isVersion(line.substr(0, 8)) && line[8] == ' ' && line[12] == ' ' && numberOf(essential, 10);
+        const auto status = numberOf(essential, 10);
+        const bool isValidStatus = status && *status >= 100 && *status < 600;
+        return line.size() > 12 && isVersion(line.substr(0, 8)) && line[8] == ' ' && line[12] == ' ' && isValidStatus;
     }
     const auto first = std::min(line.find(' '), line.size());
     const auto last = std::min(line.rfind(' '), line.size());
@@ -177,7 +180,7 @@
     std::vector<reference_message> messages;
     while (const auto line = takeLine(bytes)) {
         reference_message message;
-        if (!parseStartLine(*line, source.isRequest, message.startLine) || !takeFields(bytes, message.fields)) {
+        if (!parseStartLine(*line, source.isRequest, message.startLine) || !takeFields(bytes, source.isRequest, message.fields)) {
             break;
         }
         normalize(message.fields);
