Report an exchange that gets no event loop as not sent

Change: without a loop nothing was sent, and the result says so.

Evidence, before -> after: backend_client_tests::sendsNothingWithoutFileDescriptors failed (uncaught exception, "eventfd_select_interrupter: Too many open files") -> passes.

--- a/src/flamingofield/gate/backend_client.cpp
+++ b/src/flamingofield/gate/backend_client.cpp
@@ -71,6 +71,23 @@
     instant lastUsed;
 };
 
+/// Event loop of one exchange, with a timer for its deadline.
+struct exchange_loop
+{
+    asio::io_context loop{1};
+    asio::steady_timer timer{loop};
+};
+
+/// @return null if the system has no resources for a loop, usually file descriptors
+std::unique_ptr<exchange_loop> makeExchangeLoop()
+{
+    try {
+        return std::make_unique<exchange_loop>();
+    } catch (const boost::system::system_error &) {
+        return nullptr;
+    }
+}
+
 /// True if the answer says where its body ends.
 bool hasFraming(const http_request_message &request, const http_answer_message &answer)
 {
@@ -152,7 +169,13 @@
     exchange_result run(const endpoint &peer, const http_request_message &message, instant deadline, std::optional<idle_socket> idle)
     {
         const instant now = std::chrono::steady_clock::now();
-        asio::io_context loop{1};
+        const auto own = makeExchangeLoop();
+        if (own == nullptr) {
+            exchange_result ended;
+            ended.failure = {"open event loop", toString(peer), "the system has no resources for it"};
+            return ended;
+        }
+        asio::io_context &loop = own->loop;
         connection_pool connections;
         exchange_options options;
         options.poolKey = toString(peer);
@@ -171,8 +194,8 @@
         std::optional<exchange_result> ended;
         const auto current = std::make_shared<exchange>(loop, connections, peer, options);
         current->start(message, [&ended](exchange_result result) { ended = std::move(result); });
-        asio::steady_timer timer(loop, deadline);
-        timer.async_wait([&current](boost::system::error_code aborted) {
+        own->timer.expires_at(deadline);
+        own->timer.async_wait([&current](boost::system::error_code aborted) {
             if (!aborted) {
                 current->cancel();
             }
--- a/tests/gate/backend_client_tests.cpp
+++ b/tests/gate/backend_client_tests.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace flamingofield;
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(refusesFieldNamesOutsideTheProtocol);
     CPPUNIT_TEST(refusesBodiesWhoseEndIsNotCertain);
     CPPUNIT_TEST(refusesHeadsThatEndAtAnyByte);
+    CPPUNIT_TEST(sendsNothingWithoutFileDescriptors);
     CPPUNIT_TEST_SUITE_END();
 
     static endpoint serverAddress()
@@ -67,6 +69,18 @@
             CPPUNIT_ASSERT_MESSAGE(head.substr(0, length), std::holds_alternative<backend_outcome_unknown>(get(client)));
         }
     }
+
+    void sendsNothingWithoutFileDescriptors()
+    {
+        backend_client client({});
+        rlimit usual{};
+        getrlimit(RLIMIT_NOFILE, &usual);
+        const rlimit none{0, usual.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &none);
+        const backend_result result = get(client);
+        setrlimit(RLIMIT_NOFILE, &usual);
+        CPPUNIT_ASSERT(std::holds_alternative<backend_not_sent>(result));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(backend_client_tests);
