End an exchange whose stream ends behind an answer to another request

What callers would see: an answer with the id of another request, without a length, ends with its connection; the exchange didn't end before the deadline, so there was no other attempt and a late 504.

Cause: such an answer is skipped, and the exchange read on. Its end was the end of the stream, for which the event loop has reported its one event, so that read did not complete until the other side reset the connection.

Ruled out: answers with a length or chunks; the end of the stream comes after them and ends the next read. Through a node, with the end in the same round as the answer, the exchange ended at once before, too.

Change: after an answer that ends with its connection no other one is awaited. The errors of skipped answers say what was expected.

--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -286,8 +286,14 @@
     state &s = *m_state;
     const bool isInterim = s.answer.status < 200;
     if (isInterim || isAnswerToOtherRequest()) {
-        if (++s.skippedAnswers > maxSkippedAnswers) {
-            fail("receive answer", "answers to other requests");
+        if (s.parser->need_eof()) {
+            // A read after the end of the stream need not complete.
+            exchange_result closed;
+            closed.wasClosedByPeer = true;
+            fail("receive answer", "expected the answer to the request, got the end of the stream behind that to another one",
+                 std::move(closed));
+        } else if (++s.skippedAnswers > maxSkippedAnswers) {
+            fail("receive answer", "expected the answer to the request, got " + std::to_string(s.skippedAnswers) + " others");
         } else {
             receive();
         }
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(failsAtOnceOnAFieldNameOutsideTheProtocol);
     CPPUNIT_TEST(failsOnABodyWhoseEndIsNotCertain);
     CPPUNIT_TEST(failsOnAHeadThatEndsAtAnyByte);
+    CPPUNIT_TEST(failsAtOnceWhenTheConnectionEndsBehindAnAnswerToAnotherRequest);
     CPPUNIT_TEST_SUITE_END();
 
     static backend_reply answerWithId(const backend_request &request)
@@ -380,6 +381,22 @@
             }
         }
     }
+
+    /// Guards against a read after the end of the stream, which does not complete.
+    void failsAtOnceWhenTheConnectionEndsBehindAnAnswerToAnotherRequest()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r0\r\n";
+        for (const std::string rest :
+             {"\r\nuntil the end", "\r\n", "Content-Length: 3\r\n\r\nold", "Transfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n"}) {
+            for (const auto order : {interleaving::steps, interleaving::turns}) {
+                exchange_fixture fixture([&](const backend_request &) { return backend_reply{head + rest, true, false}; }, order);
+                fixture.options.requestIdField = "X-Id";
+                const auto ended = fixture.run(getRequest(), seconds(1));
+                CPPUNIT_ASSERT_MESSAGE(rest, ended && ended->outcome == exchange_outcome::mayHaveRun);
+                CPPUNIT_ASSERT_MESSAGE(rest, ended->wasClosedByPeer);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_tests);
