Check the status of an answer in its parser

The check stood beside the parser, in the exchange, and its error didn't say what was expected. answer_parser now refuses the status when the head is complete, and tells for both of its own checks what was expected and what came; failures of Beast's parser and of the connection are reported in the same form. isValidStatus() had no other caller and is gone.

--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -207,9 +207,9 @@
                 || failure == http::error::partial_message;
             exchange_result broken;
             broken.wasClosedByPeer = isClosedByPeer;
-            self->fail("receive answer", failure.message(), std::move(broken));
-        } else if (mine.hasHead && !isValidStatus(mine.answer.status)) {
-            self->fail("receive answer", "the answer has the invalid status " + std::to_string(mine.answer.status));
+            const std::string &violation = mine.parser->violation();
+            self->fail("receive answer", violation.empty() ? "expected a complete answer, got: " + failure.message() : violation,
+                       std::move(broken));
         } else if (hasUnknownCoding(mine.answer.fields)) {
             self->fail("receive answer", "the answer is in a transfer coding other than chunked, which was not requested");
         } else if (self->declaredBodyBytes() > mine.options.maxAnswerBytes) {
@@ -221,8 +221,7 @@
         } else if (mine.parser->is_done() && self->isEndedByBrokenConnection()) {
             exchange_result broken;
             broken.wasClosedByPeer = mine.writeFailure == asio::error::connection_reset;
-            self->fail("receive answer", "the connection broke before the end of the answer: " + mine.writeFailure.message(),
-                       std::move(broken));
+            self->fail("receive answer", "expected the end of the answer, got: " + mine.writeFailure.message(), std::move(broken));
         } else if (mine.parser->is_done()) {
             self->handleAnswer();
         } else {
--- a/src/flamingofield/http/message.cpp
+++ b/src/flamingofield/http/message.cpp
@@ -52,11 +52,6 @@
     return answer;
 }
 
-bool isValidStatus(int status)
-{
-    return status >= 100 && status < 600;
-}
-
 bool isSameName(std::string_view a, std::string_view b)
 {
     return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
--- a/src/flamingofield/http/message.hpp
+++ b/src/flamingofield/http/message.hpp
@@ -109,9 +109,6 @@
 /// An error answer of the node itself, with the reason in a JSON body.
 http_answer_message errorAnswer(int status, std::string_view reason);
 
-/// True if a status is within the range of the protocol (RFC 9110, section 15); an answer with another one means nothing.
-bool isValidStatus(int status);
-
 /// True if two header names are equal without regard to case.
 bool isSameName(std::string_view a, std::string_view b);
 
--- a/tests/http/exchange_tests.cpp
+++ b/tests/http/exchange_tests.cpp
@@ -328,6 +328,7 @@
                 const auto ended = fixture.run(getRequest(), seconds(1));
                 CPPUNIT_ASSERT_MESSAGE(status + " " + rest, ended && ended->outcome == exchange_outcome::mayHaveRun);
                 CPPUNIT_ASSERT_EQUAL(std::string("receive answer"), ended->failure.step);
+                CPPUNIT_ASSERT_EQUAL("expected a status from 100 to 599, got " + std::to_string(std::stoi(status)), ended->failure.reason);
                 CPPUNIT_ASSERT(ended->wasConnectionReused);
                 CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.connections.size());
             }
