Use the pool's check of idle sockets and one deadline for exchanges in flamingod's client

backend_client had its own copies of two things: the check whether an idle socket has input, and a timer that cancels an exchange. hasPendingInput() takes a descriptor now and serves both pools; runUntil() runs an exchange up to a deadline and is what runWithTimeout() and backend_client are made of. Without an event loop, the error says what the system reported.

--- a/src/flamingofield/gate/backend_client.cpp
+++ b/src/flamingofield/gate/backend_client.cpp
@@ -53,12 +53,9 @@
         return std::exchange(m_descriptor, -1);
     }
 
-    /// True if the connection can be reused: the socket has nothing to read, neither unexpected bytes nor an end of stream.
-    bool isOpenWithoutInput() const
+    int get() const
     {
-        char byte = 0;
-        const ssize_t count = ::recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return m_descriptor;
     }
 
 private:
@@ -71,20 +68,15 @@
     instant lastUsed;
 };
 
-/// Event loop of one exchange, with a timer for its deadline.
-struct exchange_loop
-{
-    asio::io_context loop{1};
-    asio::steady_timer timer{loop};
-};
-
-/// @return null if the system has no resources for a loop, usually file descriptors
-std::unique_ptr<exchange_loop> makeExchangeLoop()
+/// @return the loop, or an error, usually for want of file descriptors
+result<std::unique_ptr<asio::io_context>> makeEventLoop(const endpoint &peer)
 {
     try {
-        return std::make_unique<exchange_loop>();
-    } catch (const boost::system::system_error &) {
-        return nullptr;
+        auto loop = std::make_unique<asio::io_context>(1);
+        const asio::steady_timer first(*loop); // Opens the descriptors of the loop.
+        return loop;
+    } catch (const boost::system::system_error &failure) {
+        return error{"open event loop", toString(peer), std::string("expected an event loop, got: ") + failure.what()};
     }
 }
 
@@ -169,13 +161,13 @@
     exchange_result run(const endpoint &peer, const http_request_message &message, instant deadline, std::optional<idle_socket> idle)
     {
         const instant now = std::chrono::steady_clock::now();
-        const auto own = makeExchangeLoop();
-        if (own == nullptr) {
+        const auto ownLoop = makeEventLoop(peer);
+        if (!ownLoop) {
             exchange_result ended;
-            ended.failure = {"open event loop", toString(peer), "the system has no resources for it"};
+            ended.failure = ownLoop.error();
             return ended;
         }
-        asio::io_context &loop = own->loop;
+        asio::io_context &loop = *ownLoop.value();
         connection_pool connections;
         exchange_options options;
         options.poolKey = toString(peer);
@@ -192,14 +184,7 @@
             options.maxIdleTime = m_limits.maxIdleTime;
         }
         std::optional<exchange_result> ended;
-        const auto current = std::make_shared<exchange>(loop, connections, peer, options);
-        current->start(message, [&ended](exchange_result result) { ended = std::move(result); });
-        own->timer.expires_at(deadline);
-        own->timer.async_wait([&current](boost::system::error_code aborted) {
-            if (!aborted) {
-                current->cancel();
-            }
-        });
+        runUntil(loop, connections, peer, options, message, deadline, [&ended](exchange_result result) { ended = std::move(result); });
         while (!ended) {
             loop.run_one();
         }
@@ -218,7 +203,7 @@
         while (!idle.empty()) {
             idle_connection connection = std::move(idle.back());
             idle.pop_back();
-            if (now - connection.lastUsed < m_limits.maxIdleTime && connection.socket.isOpenWithoutInput()) {
+            if (now - connection.lastUsed < m_limits.maxIdleTime && !hasPendingInput(connection.socket.get())) {
                 return std::move(connection.socket);
             }
         }
--- a/src/flamingofield/http/connection_pool.cpp
+++ b/src/flamingofield/http/connection_pool.cpp
@@ -16,11 +16,11 @@
 
 } // namespace
 
-bool hasPendingInput(tcp_socket &socket)
+bool hasPendingInput(int socket)
 {
     char byte = 0;
     // Zero: the peer has closed. Positive: unexpected bytes. Only "would block" means that the connection is usable.
-    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -62,7 +62,7 @@
         if (request && std::find(sent.begin(), sent.end(), *request) != sent.end()) {
             continue;
         }
-        const bool isUsable = now < position->usableUntil && !hasPendingInput(position->connection.socket);
+        const bool isUsable = now < position->usableUntil && !hasPendingInput(position->connection.socket.native_handle());
         if (isUsable) {
             connection = std::move(position->connection);
         }
--- a/src/flamingofield/http/connection_pool.hpp
+++ b/src/flamingofield/http/connection_pool.hpp
@@ -68,7 +68,8 @@
 };
 
 /// True if the peer has closed the connection or sent unexpected bytes.
-bool hasPendingInput(tcp_socket &socket);
+/// @param socket descriptor of a connected socket
+bool hasPendingInput(int socket);
 
 /// Sets TCP_NODELAY and TCP_USER_TIMEOUT.
 /// @param unacknowledgedTimeout the kernel ends the connection when sent bytes stay unacknowledged for this long
--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -358,20 +358,14 @@
     asio::post(s.loop, [onEnd = std::move(s.onEnd), ended = std::move(result)]() mutable { onEnd(std::move(ended)); });
 }
 
-void runWithTimeout(asio::io_context &loop, connection_pool &pool, const endpoint &peer, const exchange_options &options,
-                    const http_request_message &request, milliseconds timeout, std::function<void(result<http_answer_message>)> onEnd)
+void runUntil(asio::io_context &loop, connection_pool &pool, const endpoint &peer, const exchange_options &options,
+              const http_request_message &request, instant deadline, exchange::handler onEnd)
 {
-    auto timer = std::make_shared<asio::steady_timer>(loop, timeout);
+    auto timer = std::make_shared<asio::steady_timer>(loop, deadline);
     auto run = std::make_shared<exchange>(loop, pool, peer, options);
-    run->start(request, [timer, onEnd = std::move(onEnd), timeout](exchange_result end) {
+    run->start(request, [timer, onEnd = std::move(onEnd)](exchange_result result) {
         timer->cancel();
-        if (end.outcome == exchange_outcome::answered) {
-            onEnd(std::move(end.answer));
-        } else if (end.wasCancelled) {
-            onEnd(error{end.failure.step, end.failure.peer, "no answer within " + std::to_string(timeout.count()) + " ms"});
-        } else {
-            onEnd(std::move(end.failure));
-        }
+        onEnd(std::move(result));
     });
     timer->async_wait([run, timer](error_code aborted) {
         if (!aborted) {
@@ -380,4 +374,19 @@
     });
 }
 
+void runWithTimeout(asio::io_context &loop, connection_pool &pool, const endpoint &peer, const exchange_options &options,
+                    const http_request_message &request, milliseconds timeout, std::function<void(result<http_answer_message>)> onEnd)
+{
+    runUntil(loop, pool, peer, options, request, std::chrono::steady_clock::now() + timeout,
+             [onEnd = std::move(onEnd), timeout](exchange_result end) {
+                 if (end.outcome == exchange_outcome::answered) {
+                     onEnd(std::move(end.answer));
+                 } else if (end.wasCancelled) {
+                     onEnd(error{end.failure.step, end.failure.peer, "no answer within " + std::to_string(timeout.count()) + " ms"});
+                 } else {
+                     onEnd(std::move(end.failure));
+                 }
+             });
+}
+
 } // namespace flamingofield
--- a/src/flamingofield/http/exchange.hpp
+++ b/src/flamingofield/http/exchange.hpp
@@ -98,6 +98,11 @@
     std::unique_ptr<state> m_state;
 };
 
+/// Runs one exchange and cancels it at a deadline.
+/// @param onEnd receives the result
+void runUntil(boost::asio::io_context &loop, connection_pool &pool, const endpoint &peer, const exchange_options &options,
+              const http_request_message &request, instant deadline, exchange::handler onEnd);
+
 /// Runs one exchange and cancels it after a timeout.
 /// @param onEnd receives the answer, or an error with the step that failed
 void runWithTimeout(boost::asio::io_context &loop, connection_pool &pool, const endpoint &peer, const exchange_options &options,
--- a/src/flamingofield/http/internal/client_session.cpp
+++ b/src/flamingofield/http/internal/client_session.cpp
@@ -151,7 +151,7 @@
     if (const auto start = m_reader.partStart()) {
         return start;
     }
-    return hasPendingInput(m_socket) ? std::nullopt : std::optional<instant>(m_idleSince);
+    return hasPendingInput(m_socket.native_handle()) ? std::nullopt : std::optional<instant>(m_idleSince);
 }
 
 std::size_t client_session::unfinished() const
@@ -257,7 +257,7 @@
 
 void client_session::handleReadFailure(error_code failure, bool wasCancelled)
 {
-    if (wasCancelled && hasPendingInput(m_socket)) {
+    if (wasCancelled && hasPendingInput(m_socket.native_handle())) {
         startRead();
         return;
     }
