Bound each field of an answer to flamingod, not its whole head

The option of the exchange is a bound on a field now, 8 KiB for flamingod; heads may have 64 KiB in both daemons. The error says what was expected.

--- a/src/flamingofield/gate/backend_client.cpp
+++ b/src/flamingofield/gate/backend_client.cpp
@@ -172,7 +172,7 @@
         exchange_options options;
         options.poolKey = toString(peer);
         options.maxAnswerBytes = m_limits.maxAnswerBytes;
-        options.maxHeadBytes = m_limits.maxHeadBytes;
+        options.maxFieldBytes = m_limits.maxFieldBytes;
         options.connectTimeout
             = std::chrono::duration_cast<milliseconds>(std::clamp<duration>(deadline - now, minimumTimeout, m_limits.connectTimeout));
         options.unacknowledgedTimeout = milliseconds(0); // The default of the system; the deadline limits the exchange.
--- a/src/flamingofield/gate/backend_client.hpp
+++ b/src/flamingofield/gate/backend_client.hpp
@@ -55,7 +55,7 @@
     duration connectTimeout = milliseconds(250);
     std::size_t maxIdlePerPeer = 16;
     std::size_t maxAnswerBytes = 8U << 20U;
-    std::size_t maxHeadBytes = 16U << 10U;
+    std::size_t maxFieldBytes = 8U << 10U; ///< Of the name and value of a field of an answer.
     duration maxIdleTime = seconds(30);
 };
 
--- a/src/flamingofield/http/exchange.cpp
+++ b/src/flamingofield/http/exchange.cpp
@@ -29,9 +29,10 @@
 constexpr double keepAliveUsableShare = 0.6;
 /// Interim answers and answers to other requests that are skipped before the exchange fails.
 constexpr int maxSkippedAnswers = 3;
+constexpr std::size_t maxHeadBytes = 64U << 10U;
 /// Bytes that are received but not parsed yet. The parser takes a head, a chunk header and a trailer only as a whole, so this bounds each
 /// of them. Beast's read operations return only when the parser has taken something, so no check between two of them would.
-constexpr std::size_t maxUnparsedBytes = 64U << 10U;
+constexpr std::size_t maxUnparsedBytes = maxHeadBytes;
 
 duration keepAliveOf(std::string_view value)
 {
@@ -175,12 +176,12 @@
 void exchange::receive()
 {
     state &s = *m_state;
-    s.parser.emplace();
+    s.parser.emplace(s.options.maxFieldBytes);
     s.answer = {};
     s.hasHead = false;
     s.parser->get().body().maxBytes = s.options.maxAnswerBytes;
     s.parser->body_limit(s.options.maxAnswerBytes);
-    s.parser->header_limit(static_cast<std::uint32_t>(std::min(s.options.maxHeadBytes, maxUnparsedBytes)));
+    s.parser->header_limit(maxHeadBytes);
     s.parser->skip(s.isHeadRequest);
     refuseControlCharactersInExtensions(*s.parser);
     // Stops after the head, whose declared length is checked before any byte of the body is received.
--- a/src/flamingofield/http/exchange.hpp
+++ b/src/flamingofield/http/exchange.hpp
@@ -49,7 +49,7 @@
     /// has carried its id.
     std::string requestIdField;
     std::size_t maxAnswerBytes = 16U << 20U;
-    std::size_t maxHeadBytes = 64U << 10U; ///< At most 64 KiB.
+    std::size_t maxFieldBytes = 64U << 10U; ///< Of the name and value of a field; a head has 64 KiB at most.
     std::shared_ptr<memory_budget> memory; ///< Bounds the memory of answers, together with other holders; null for no bound.
 };
 
--- a/src/flamingofield/http/internal/answer_parser.hpp
+++ b/src/flamingofield/http/internal/answer_parser.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <cstddef>
 #include <string>
 
 namespace flamingofield {
@@ -19,6 +20,12 @@
 class answer_parser : public boost::beast::http::response_parser<received_body>
 {
 public:
+    /// @param maxFieldBytes longest name and value of a field together, in bytes
+    explicit answer_parser(std::size_t maxFieldBytes)
+        : m_maxFieldBytes(maxFieldBytes)
+    {
+    }
+
     /// What was expected in place of what the parser has refused; empty if the failure is one of Beast's parser.
     const std::string &violation() const
     {
@@ -34,6 +41,12 @@
             failure = boost::beast::http::error::bad_field;
             return;
         }
+        if (name.size() + value.size() > m_maxFieldBytes) {
+            m_violation = "expected at most " + std::to_string(m_maxFieldBytes) + " bytes for a field, got "
+                + std::to_string(name.size() + value.size());
+            failure = boost::beast::http::error::header_limit;
+            return;
+        }
         get().insert(field, name, value);
     }
 
@@ -59,6 +72,7 @@
         return position != value.data();
     }
 
+    std::size_t m_maxFieldBytes;
     std::string m_violation;
 };
 
--- a/tests/gate/backend_client_tests.cpp
+++ b/tests/gate/backend_client_tests.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(refusesFieldNamesOutsideTheProtocol);
     CPPUNIT_TEST(refusesBodiesWhoseEndIsNotCertain);
     CPPUNIT_TEST(refusesHeadsThatEndAtAnyByte);
+    CPPUNIT_TEST(returnsCompleteAnswersWithUnusualHeads);
     CPPUNIT_TEST(sendsNothingWithoutFileDescriptors);
     CPPUNIT_TEST_SUITE_END();
 
@@ -70,6 +71,19 @@
         }
     }
 
+    void returnsCompleteAnswersWithUnusualHeads()
+    {
+        for (const std::string &answer : test_support::answersWithUnusualHeads()) {
+            raw_answer_server server(answer, true);
+            CPPUNIT_ASSERT(server.start(serverAddress()));
+            backend_client client({});
+            const backend_result result = get(client);
+            const auto *received = std::get_if<backend_answer>(&result);
+            CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 200), received != nullptr);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.substr(0, 200), std::string("whole"), received->body);
+        }
+    }
+
     void sendsNothingWithoutFileDescriptors()
     {
         backend_client client({});
--- a/tests/support/broken_answers.hpp
+++ b/tests/support/broken_answers.hpp
@@ -60,4 +60,29 @@
     return answers;
 }
 
+/// Complete answers with the body "whole" whose heads are unusual but valid.
+/// @param fields further lines for each head
+inline std::vector<std::string> answersWithUnusualHeads(const std::string &fields = {})
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::string end = "Content-Length: 5\r\n\r\nwhole";
+    std::string manyFields;
+    for (int i = 0; i < 40; ++i) {
+        manyFields += "X-Field-" + std::to_string(i) + ": " + std::string(1000, 'v') + "\r\n";
+    }
+    return {
+        head + manyFields + end,
+        head + "!#$%&'*+-.^_`|~09aZ: 1\r\n" + end,
+        head + "X-Empty:\r\nX-Blank: \t \r\n" + end,
+        head + "X-Tight:1\r\nX-Wide: \t 1\t \r\nX-Tab: a\tb\r\n" + end,
+        head + "X-Text: \xe9\xff\r\n" + end,
+        head + "X-Colons: a:b: c\r\nX-Twice: 1\r\nX-Twice: 2\r\n" + end,
+        head + "content-LENGTH:5\r\n\r\nwhole",
+        head + "transfer-encoding: Chunked\r\n\r\n0005;name=\"a b\"\r\nwhole\r\n0\r\nX-Sum: 7\r\n\r\n",
+        "HTTP/1.1 200 \r\n" + fields + end,
+        "HTTP/1.0 200 Not usual\r\n" + fields + end,
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head + end,
+    };
+}
+
 } // namespace test_support
