Answer 502 when a target that may have run a request answers a status that promises "not run"

Cause: request_proxy counted such a request as possibly run, but then passed the server's answer on with its status: 503 after retryOrAnswer(), 408 and 429 in handleServed(), any of them when it had been held. To a caller these statuses state that the request has not run; without the field for it, the server stated nothing. Ruled out: a lost header (the stand-in never sends it) and refusals of the node itself, which all look at the count of possible runs.

All answers of targets now leave through deliverTargetAnswer(). For a non-idempotent request, a status that promises "not run" becomes 502 without the seal and without Retry-After. A target that states "not run", by its field or by 421, is handled before and as before: the request is sent to another target or refused. Idempotent requests, which callers may repeat in any case, still get the target's answer unchanged, as PROTOCOL.md asks.

--- a/src/flamingofield/http/message.cpp
+++ b/src/flamingofield/http/message.cpp
@@ -150,6 +150,11 @@
     return m_storage == nullptr ? nullptr : m_storage->reservation.get();
 }
 
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string serializeHead(const http_request_message &request)
 {
     std::string bytes;
--- a/src/flamingofield/http/message.hpp
+++ b/src/flamingofield/http/message.hpp
@@ -106,6 +106,9 @@
     bool closesConnection = false; ///< The client's connection is to be closed after it, unless requests behind it were passed on.
 };
 
+/// True if the status states to a caller that its request has not run and will not run: 408, 421, 429 and 503.
+bool promisesNotRun(int status);
+
 /// An error answer of the node itself, with the reason in a JSON body.
 http_answer_message errorAnswer(int status, std::string_view reason);
 
--- a/src/flamingofield/proxy/request_proxy.hpp
+++ b/src/flamingofield/proxy/request_proxy.hpp
@@ -147,6 +147,9 @@
     void evictWaiting(std::uint64_t serial);
     void dispatchQueued(const std::string &service, instant now);
     void deliver(request_row &row, const http_answer_message &answer, std::string_view outcome, instant now);
+    /// Delivers the answer of a target that may have run the request. A non-idempotent request gets an error of this node instead if the
+    /// answer's status promises that it did not run.
+    void deliverTargetAnswer(request_row &row, const http_answer_message &answer, std::string_view outcome, instant now);
     /// Answers that the request did not run and when to retry it.
     void refuse(request_row &row, int status, std::string_view reason, duration retryAfter, instant now, bool closesConnection = false);
     /// Answers with an error of this node, without Retry-After; the request may have run.
--- a/src/flamingofield/proxy/request_proxy_outcome.cpp
+++ b/src/flamingofield/proxy/request_proxy_outcome.cpp
@@ -232,7 +232,7 @@
     }
     const bool isFirstSuccess = isSuccess(answer.status) && !row.isAnswered && !row.hasClientDisconnected;
     cancelSuperseded(row, now);
-    deliver(row, answer, "answered", now);
+    deliverTargetAnswer(row, answer, "answered", now);
     return isFirstSuccess;
 }
 
@@ -332,7 +332,7 @@
     } else if (answer.status == 0) {
         deliverHeldOrFail(row, 502, reason, now);
     } else {
-        deliver(row, answer, "failed", now);
+        deliverTargetAnswer(row, answer, "failed", now);
     }
 }
 
@@ -380,6 +380,18 @@
     finish(row);
 }
 
+void request_proxy::deliverTargetAnswer(request_row &row, const http_answer_message &answer, std::string_view outcome, instant now)
+{
+    if (!row.isAnswered && !row.isIdempotent() && promisesNotRun(answer.status)) {
+        fail(row, 502,
+             "expected " + m_names.notExecuted + " with status " + std::to_string(answer.status)
+                 + " of the target, got none: the request may have run",
+             now);
+        return;
+    }
+    deliver(row, answer, outcome, now);
+}
+
 void request_proxy::refuse(request_row &row, int status, std::string_view reason, duration retryAfter, instant now, bool closesConnection)
 {
     giveBackQuota(row, now);
@@ -419,7 +431,7 @@
 void request_proxy::deliverHeldOrFail(request_row &row, int status, std::string_view reason, instant now)
 {
     if (const auto held = std::exchange(row.held, std::nullopt)) {
-        deliver(row, held->answer, held->isFailure ? "failed" : "answered", now);
+        deliverTargetAnswer(row, held->answer, held->isFailure ? "failed" : "answered", now);
     } else {
         fail(row, status, reason, now);
     }
--- a/tests/proxy/request_proxy_tests.cpp
+++ b/tests/proxy/request_proxy_tests.cpp
@@ -207,6 +207,15 @@
 {
     return {"HTTP/1.1 500 Error\r\nX-Id: " + idOf(request) + "\r\nX-Seal: bad\r\nContent-Length: 0\r\n\r\n", false, false};
 }
+/// Answers with a failure that bears the target's seal.
+/// @param fields further lines of the head
+scripted_backend::script answerWithFailure(const std::string &status, const std::string &fields = {})
+{
+    return [status, fields](const backend_request &request) -> backend_reply {
+        return {"HTTP/1.1 " + status + "\r\nX-Id: " + idOf(request) + "\r\nX-Seal: bad\r\n" + fields + "Content-Length: 0\r\n\r\n", false,
+                false};
+    };
+}
 backend_reply shed(const backend_request &)
 {
     return {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false, false};
@@ -250,6 +259,10 @@
     CPPUNIT_TEST(refusesQueuedRequestsOnceAllTargetsAskForALongerTime);
     CPPUNIT_TEST(ignoresAndLogsAnUnreadableRetryAfterOfATarget);
     CPPUNIT_TEST(forwardsTheErrorAnswerOfATargetUnchanged);
+    CPPUNIT_TEST(promisesOfNoRequestThatMayHaveRunThatItDidNotRun);
+    CPPUNIT_TEST(forwardsStatusesThatPromiseNotRunToIdempotentRequests);
+    CPPUNIT_TEST(sendsARequestAgainWhenATargetStatesThatItDidNotRun);
+    CPPUNIT_TEST(passesOnThatNoTargetRanTheRequest);
     CPPUNIT_TEST(rejectsTheAnswerOfAnotherRequest);
     CPPUNIT_TEST(doesNotTakeARepeatedAnswerForTheAnswerToTheNextAttempt);
     CPPUNIT_TEST(doesNotTakeAnAnswerWithoutIdForTheAnswerToALaterRequest);
@@ -477,6 +490,61 @@
         CPPUNIT_ASSERT_EQUAL(std::string("bad"), std::string(caller->received->fields.value("X-Seal")));
     }
 
+    /// Guards against a caller that repeats a non-idempotent request which has run, because its answer had a status that promises "not
+    /// run".
+    void promisesOfNoRequestThatMayHaveRunThatItDidNotRun()
+    {
+        for (const std::string status : {"408 Late", "429 Many", "503 Failed"}) {
+            const auto failure = answerWithFailure(status, "Retry-After: 1\r\n");
+            proxy_fixture b({failure, failure});
+            const auto caller = b.send("/write/", "id1");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 502, b.await(caller));
+            CPPUNIT_ASSERT_MESSAGE(status, !caller->received->fields.has("X-Seal") && !caller->received->fields.has("Retry-After"));
+            CPPUNIT_ASSERT_EQUAL(std::string("id1"), std::string(caller->received->fields.value("X-Id")));
+            b.run(milliseconds(100));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::size_t(1), b.arrivals());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 1, caller->answers);
+        }
+    }
+
+    /// A caller may repeat an idempotent request in any case, so it gets the target's answer with what that says about a repetition.
+    void forwardsStatusesThatPromiseNotRunToIdempotentRequests()
+    {
+        for (const auto &[status, number] : {std::pair<std::string, int>("408 Late", 408), {"429 Many", 429}, {"503 Failed", 503}}) {
+            const auto failure = answerWithFailure(status, "Retry-After: 1\r\n");
+            proxy_fixture b({failure, failure});
+            const auto caller = b.send("/read/", "id1");
+            CPPUNIT_ASSERT_EQUAL(number, b.await(caller));
+            CPPUNIT_ASSERT_EQUAL(std::string("bad"), std::string(caller->received->fields.value("X-Seal")));
+        }
+    }
+
+    void sendsARequestAgainWhenATargetStatesThatItDidNotRun()
+    {
+        const std::string field = "X-Not-Run: 1\r\n";
+        for (const auto &refusal : {answerWithFailure("408 Late", field), answerWithFailure("429 Many", field),
+                                    answerWithFailure("503 Full", field), answerWithFailure("421 Other")}) {
+            int calls = 0;
+            const auto firstRefuses = [&](const backend_request &request) { return ++calls == 1 ? refusal(request) : serve(request); };
+            proxy_fixture b({firstRefuses, firstRefuses});
+            CPPUNIT_ASSERT_EQUAL(200, b.await(b.send("/write/", "id1")));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), b.arrivals());
+        }
+    }
+
+    void passesOnThatNoTargetRanTheRequest()
+    {
+        const std::string field = "X-Not-Run: 1\r\n";
+        for (const auto &refusal : {answerWithFailure("408 Late", field), answerWithFailure("429 Many", field),
+                                    answerWithFailure("503 Full", field), answerWithFailure("421 Other")}) {
+            proxy_fixture b({refusal});
+            b.retries.setLimits({0.0, 0.0, seconds(10)}); // No retry is allowed.
+            const auto caller = b.send("/write/", "id1");
+            CPPUNIT_ASSERT_EQUAL(503, b.await(caller));
+            CPPUNIT_ASSERT(caller->received->fields.has("Retry-After") && !caller->received->fields.has("X-Seal"));
+        }
+    }
+
     void rejectsTheAnswerOfAnotherRequest()
     {
         const auto strayAnswerFirst = [](const backend_request &request) {
--- a/tests/system/broken_answer_tests.cpp
+++ b/tests/system/broken_answer_tests.cpp
@@ -160,6 +160,7 @@
     CPPUNIT_TEST(passesOnNoAnswerWhoseStatusIsOutsideTheProtocol);
     CPPUNIT_TEST(passesOnNoAnswerWithAnInvalidFieldName);
     CPPUNIT_TEST(passesOnNoAnswerWhoseHeadIsCut);
+    CPPUNIT_TEST(passesOnNoStatusThatPromisesNotRunForARequestThatRan);
     CPPUNIT_TEST(passesOnCompleteAnswers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -216,6 +217,28 @@
         }
     }
 
+    /// Guards against review case 10: a caller takes 503 for the promise that its request has not run. The only server answers with it,
+    /// so that the test does not depend on which server is chosen.
+    void passesOnNoStatusThatPromisesNotRunForARequestThatRan()
+    {
+        node_fixture fixture;
+        for (const auto &[status, number] : {std::pair<std::string, int>("408 Late", 408), {"429 Many", 429}, {"503 Failed", 503}}) {
+            const backend_reply failure = {node_fixture::answerWith("Content-Length: 5\r\n\r\nwhole", status), false, false};
+            for (const std::size_t bodyBytes : {std::size_t(0), uploadBytes}) {
+                fixture.server->setReply(failure);
+                const http_answer_message answer = fixture.send("POST", "/write/", bodyBytes);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 502, answer.status);
+                CPPUNIT_ASSERT_MESSAGE(status, !answer.fields.has(platform_fleet::sealField));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 1, fixture.server->arrivals());
+            }
+            fixture.server->setReply(failure);
+            CPPUNIT_ASSERT_EQUAL(number, fixture.send("GET", "/read/", 0).status);
+            fixture.server->setReply(
+                {node_fixture::answerWith("Flamingofield-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status), false, false});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status + ", not executed", 503, fixture.send("POST", "/write/", 0).status);
+        }
+    }
+
     void passesOnCompleteAnswers()
     {
         node_fixture fixture;
