Promise "not run" in flamingod only if a backend server or the node states it

Callers of flamingod saw a server's 408, 429 or 503 for work that the server had run, directly, from the record of a repeated key and through another node; an application/problem+json body of a server with "outcome": "not run" likewise. A node without a configuration answered 503 with the outcome "unknown" for a key whose work may have run before.

Cause: runAtMostOnce() passed every answer on and recorded it but for a 503 with Request-Not-Run; forward() passed on whatever the other node answered; refuse() changed the outcome of a refusal and left its status.

Now work that must not repeat gets 502 with the outcome "unknown" in place of such an answer, and its key is marked unknown. A refusal whose outcome is unknown is a 504. A server that states "not run" is believed as before; the record keeps that statement for repeated keys. Idempotent work is unchanged.

--- a/src/flamingofield/gate/request_handler.cpp
+++ b/src/flamingofield/gate/request_handler.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.hpp"
 #include "core/overloaded.hpp"
 #include "gate/address_answer.hpp"
+#include "http/message.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -15,6 +16,8 @@
 constexpr int maxHops = 2; // One to the key's node or to a member, and one more through a relay.
 constexpr int retryAfterMs = 200;
 constexpr int maxAttempts = 3;
+/// With this field, a backend server states that it did not run the request.
+constexpr auto notRunField = "Request-Not-Run";
 /// Bounds memory. A longer body is not recorded; a repeated request then gets the status and content type with an empty body.
 constexpr std::size_t maxRecordedBodyBytes = 64U << 10U;
 
@@ -52,10 +55,16 @@
     return std::any_of(answer.headers.begin(), answer.headers.end(), [&](const auto &h) { return strcasecmp(h.first.c_str(), name) == 0; });
 }
 
+/// True if a backend server states that it did not run the request: by its own field, or by 421 Misdirected Request (RFC 9110).
+bool statesNotRun(const backend_answer &answer)
+{
+    return answer.status == 421 || hasHeader(answer, notRunField);
+}
+
 /// True if the backend server shed the request: it answered 503 with Request-Not-Run and did not start it.
 bool isShed(const backend_answer &answer)
 {
-    return answer.status == 503 && hasHeader(answer, "Request-Not-Run");
+    return answer.status == 503 && statesNotRun(answer);
 }
 
 http_answer toClientAnswer(const backend_answer &answer)
@@ -79,6 +88,32 @@
     return passed;
 }
 
+/// True if a caller would take the answer for the promise that its work did not run, which the backend server did not make.
+bool impliesNotRun(const backend_answer &answer)
+{
+    return !statesNotRun(answer) && (promisesNotRun(answer.status) || promisesNotRun(toClientAnswer(answer)));
+}
+
+std::string describeUnstated(const backend_answer &answer)
+{
+    return std::string("expected ") + notRunField + " with status " + std::to_string(answer.status) + ", got none: the work may have run";
+}
+
+/// Answer of another node as it is passed on for work that must not repeat. A status that promises "not run" needs the same promise in the
+/// body, or the field of a backend server that the other node passed on.
+http_answer toCheckedAnswer(const backend_answer &answer, const std::string &peer)
+{
+    http_answer passed = toClientAnswer(answer);
+    if (!promisesNotRun(answer.status) || statesNotRun(answer) || promisesNotRun(passed)) {
+        return passed;
+    }
+    http_answer checked = toAnswer({502, work_outcome::unknown, describeUnstated(answer), "forward", peer, 0});
+    if (const auto node = passed.headers.find("Flamingo-Node"); node != passed.headers.end()) {
+        checked.headers.insert(*node);
+    }
+    return checked;
+}
+
 http_answer fromRecord(const recorded_answer &record)
 {
     http_answer answer;
@@ -86,6 +121,9 @@
     answer.contentType = record.contentType;
     answer.body = record.body;
     answer.headers.emplace("Flamingo-Recorded", "true");
+    if (record.statesNotRun) {
+        answer.headers.emplace(notRunField, "true");
+    }
     return answer;
 }
 
@@ -187,6 +225,7 @@
         m_context.outcomes.markNotExecuted(key.value(), p.detail);
     } else if (!std::holds_alternative<execution_refused>(claimed)) {
         p.outcome = work_outcome::unknown;
+        p.status = promisesNotRun(p.status) ? 504 : p.status;
     }
     return toAnswer(p);
 }
@@ -259,8 +298,14 @@
         const std::size_t target = std::get<slot_grant>(slot).target;
         const attempt_result result = attempt(routed, target, routed.deadline, true);
         if (const auto *answer = std::get_if<backend_answer>(&result.result); answer != nullptr && !result.isShed) {
+            if (impliesNotRun(*answer)) {
+                m_context.outcomes.markUnknown(key, describeUnstated(*answer));
+                return toAnswer(
+                    {502, work_outcome::unknown, describeUnstated(*answer), "await answer", toString(routed.view.targets[target]), 0});
+            }
             const bool isSmall = answer->body.size() <= maxRecordedBodyBytes;
-            m_context.outcomes.recordAnswer(key, {answer->status, answer->contentType, isSmall ? answer->body : std::string()});
+            m_context.outcomes.recordAnswer(
+                key, {answer->status, answer->contentType, isSmall ? answer->body : std::string(), statesNotRun(*answer)});
             return toClientAnswer(*answer);
         }
         if (const auto *unknown = std::get_if<backend_outcome_unknown>(&result.result)) {
@@ -398,7 +443,9 @@
     request.requiresNewConnection = !routed.route.idempotent;
     const backend_result result = m_context.peers.send(node.address, request);
     return std::visit(overloaded{
-                          [&](const backend_answer &answer) { return toClientAnswer(answer); },
+                          [&](const backend_answer &answer) {
+                              return routed.route.idempotent ? toClientAnswer(answer) : toCheckedAnswer(answer, toString(node.address));
+                          },
                           [&](const backend_not_sent &failure) {
                               return toAnswer({503, work_outcome::notRun, failure.reason, "forward", toString(node.address), retryAfterMs});
                           },
--- a/src/flamingofield/idempotency/outcome_table.hpp
+++ b/src/flamingofield/idempotency/outcome_table.hpp
@@ -17,6 +17,7 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    bool statesNotRun = false; ///< The backend server stated that it did not run the request.
 };
 
 /// The key is claimed: the caller of claim() must now execute the request and report the outcome.
--- a/tests/system/answer_tests.cpp
+++ b/tests/system/answer_tests.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(rejectsIncompleteAndMalformedAnswers);
     CPPUNIT_TEST(promisesNothingAfterABrokenAnswerOnAReusedConnection);
     CPPUNIT_TEST(promisesNothingWhenAMemberDiesWithARequestAndTheOtherIsGone);
+    CPPUNIT_TEST(promisesOfNoWorkThatMayHaveRunThatItDidNotRun);
+    CPPUNIT_TEST(believesAServerThatStatesThatItDidNotRunTheWork);
     CPPUNIT_TEST(rejectsInvalidRequestsWithoutAffectingOtherCallers);
     CPPUNIT_TEST(servesNewCallersWhileIdleAndSlowOnesHoldConnections);
     CPPUNIT_TEST(acceptsABurstOfConnectionsWhileTheProcessIsPaused);
@@ -218,6 +220,89 @@
         }
     }
 
+    /// A deployment whose only target gives the same answer to all work.
+    class fixed_answer_fixture
+    {
+    public:
+        explicit fixed_answer_fixture(const std::string &answer)
+            : deployment(planOf(1, false))
+            , m_answer(answer)
+        {
+            CPPUNIT_ASSERT(deployment.start());
+            deployment.targets().front().server->stop();
+            target = std::make_unique<scripted_backend>(m_loop, deployment.targets().front().address,
+                                                        [this](const test_support::backend_request &) -> test_support::backend_reply {
+                                                            ++arrivals;
+                                                            return {m_answer, false, false};
+                                                        });
+            m_serving = std::async(std::launch::async, [this] { m_loop.run(); });
+        }
+        ~fixed_answer_fixture()
+        {
+            m_loop.stop();
+            m_serving.wait();
+        }
+        fixed_answer_fixture(const fixed_answer_fixture &) = delete;
+        fixed_answer_fixture &operator=(const fixed_answer_fixture &) = delete;
+
+        /// Sends work that must not repeat through each entry VM, with the same key.
+        std::vector<caller_result> sendThroughAll(int number)
+        {
+            caller client(deployment.gates());
+            caller_request request;
+            request.method = "POST";
+            request.target = "/wilgoc/once/" + std::to_string(number);
+            request.key = client.newKey(client.addresses("wilgoc").at(0));
+            std::vector<caller_result> results;
+            for (const auto &node : deployment.nodes()) {
+                request.entry = node.gate;
+                results.push_back(client.send("wilgoc", request));
+            }
+            return results;
+        }
+
+        test_deployment deployment;
+        std::unique_ptr<scripted_backend> target;
+        std::atomic<int> arrivals{0};
+
+    private:
+        std::string m_answer;
+        boost::asio::io_context m_loop{1};
+        std::future<void> m_serving;
+    };
+
+    /// Guards against a status or body of a backend server, or of another node, that a caller takes for the promise that its work did not
+    /// run, at the key's node, at a node that forwards to it, and when the work is repeated.
+    void promisesOfNoWorkThatMayHaveRunThatItDidNotRun()
+    {
+        const std::string problem = R"({"status":409,"outcome":"not run"})";
+        const std::vector<std::string> answers{
+            "HTTP/1.1 408 Late\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 503 Failed\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 409 Conflict\r\nContent-Type: application/problem+json\r\nContent-Length: " + std::to_string(problem.size())
+                + "\r\n\r\n" + problem,
+        };
+        for (const std::string &answer : answers) {
+            fixed_answer_fixture fixture(answer);
+            for (const caller_result &got : fixture.sendThroughAll(1)) {
+                CPPUNIT_ASSERT_MESSAGE(answer + got.body, got.status == 502 || got.status == 504);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(answer + got.body, std::string("unknown"), got.outcome);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, 1, fixture.arrivals.load());
+        }
+    }
+
+    void believesAServerThatStatesThatItDidNotRunTheWork()
+    {
+        for (const std::string status : {"503 Full", "429 Many", "408 Late"}) {
+            fixed_answer_fixture fixture("HTTP/1.1 " + status + "\r\nRequest-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
+            for (const caller_result &got : fixture.sendThroughAll(1)) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, std::stoi(status), got.status);
+            }
+        }
+    }
+
     void rejectsInvalidRequestsWithoutAffectingOtherCallers()
     {
         test_deployment deployment(planOf(4, false));
