Do not take a server's error without a body for a refusal by flamingod's HTTP library

Callers saw "not run" for work that had run: a backend server answered 413 with an empty body, and flamingod put its own problem in place of that, which says "not run" for 413 because every node refuses too long a body.

Cause: cpp-httplib calls the error handler for each answer of 400 and above, and writeLibraryError() told its own refusals from those of the handler by an empty body. Answers of the handler always have a content type, so that decides now.

--- a/src/flamingofield/gate/connection_server.cpp
+++ b/src/flamingofield/gate/connection_server.cpp
@@ -391,7 +391,8 @@
 
     static void writeLibraryError(httplib::Response &res)
     {
-        if (!res.body.empty()) {
+        // Answers of the handler have a content type, also those without a body.
+        if (!res.body.empty() || res.has_header("Content-Type")) {
             return;
         }
         // Every node refuses a body over the limit, so no copy has run; other errors may concern this copy only.
--- a/tests/system/answer_tests.cpp
+++ b/tests/system/answer_tests.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(promisesNothingAfterABrokenAnswerOnAReusedConnection);
     CPPUNIT_TEST(promisesNothingWhenAMemberDiesWithARequestAndTheOtherIsGone);
     CPPUNIT_TEST(promisesOfNoWorkThatMayHaveRunThatItDidNotRun);
+    CPPUNIT_TEST(passesOnAnErrorWithoutABodyAsTheServersAnswer);
     CPPUNIT_TEST(believesAServerThatStatesThatItDidNotRunTheWork);
     CPPUNIT_TEST(rejectsInvalidRequestsWithoutAffectingOtherCallers);
     CPPUNIT_TEST(servesNewCallersWhileIdleAndSlowOnesHoldConnections);
@@ -293,6 +294,18 @@
         }
     }
 
+    /// Guards against the answer of a backend server that is taken for a refusal by the HTTP library, which promises "not run" for 413.
+    void passesOnAnErrorWithoutABodyAsTheServersAnswer()
+    {
+        for (const std::string status : {"413 Large", "500 Failed"}) {
+            fixed_answer_fixture fixture("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+            for (const caller_result &got : fixture.sendThroughAll(1)) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, std::stoi(status), got.status);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, std::string("done"), got.outcome);
+            }
+        }
+    }
+
     void believesAServerThatStatesThatItDidNotRunTheWork()
     {
         for (const std::string status : {"503 Full", "429 Many", "408 Late"}) {
