Let the creator of fleet_state choose its clock

Answers of the store and of peers were stamped with the steady clock, so that a test of outages would have to wait for them. The clock is a parameter now, the steady clock by default. No change of behaviour.

--- a/src/flamingofield/edge/fleet_state.cpp
+++ b/src/flamingofield/edge/fleet_state.cpp
@@ -26,11 +26,12 @@
 }
 
 fleet_state::fleet_state(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, milliseconds heartbeat,
-                         instant startedAt, first_reads firstReads)
+                         instant startedAt, first_reads firstReads, clock now)
     : m_store(std::move(store))
     , m_fetch(std::move(fetch))
     , m_onConfig(std::move(onConfig))
     , m_onTargets(std::move(onTargets))
+    , m_clock(std::move(now))
     , m_startedAt(startedAt)
     , m_firstReads(firstReads)
     , m_configConfirmation(startedAt)
@@ -101,7 +102,7 @@
 {
     m_targetReads.started(now);
     m_store.readTargets([this, requestedAt = now](result<target_snapshot> read) {
-        const instant endedAt = std::chrono::steady_clock::now();
+        const instant endedAt = m_clock();
         if (!read) {
             m_targetReads.failed(endedAt);
             noteStoreFailure("read targets", read.error());
@@ -138,7 +139,7 @@
 {
     m_configReads.started(now);
     m_store.readConfig([this, requestedAt = now](result<std::pair<store_document, std::uint64_t>> read) {
-        const instant endedAt = std::chrono::steady_clock::now();
+        const instant endedAt = m_clock();
         if (!read) {
             m_configReads.failed(endedAt);
             noteStoreFailure("read configuration", read.error());
@@ -156,7 +157,7 @@
 {
     m_configReads.started(now);
     m_store.watchConfig(m_watchAfter, watchDuration, [this](result<store_watch_result> end) {
-        const instant endedAt = std::chrono::steady_clock::now();
+        const instant endedAt = m_clock();
         if (!end) {
             m_configReads.failed(endedAt);
             // A failed watch may have missed changes, so the next call reads the whole document.
@@ -274,7 +275,7 @@
         if (!answer || answer.value().status != 200) {
             return; // The next message from a peer that is ahead starts another fetch.
         }
-        const instant endedAt = std::chrono::steady_clock::now();
+        const instant endedAt = m_clock();
         auto decoded = decodeTargetSnapshot(answer.value().body);
         if (!decoded) {
             logEvent(log_level::error, "targets_rejected", {{"source", "peer"}, {"error", describe(decoded.error())}});
--- a/src/flamingofield/edge/fleet_state.hpp
+++ b/src/flamingofield/edge/fleet_state.hpp
@@ -76,11 +76,13 @@
     using peer_fetch = std::function<void(node_address, const std::string &path, std::function<void(result<http_answer_message>)>)>;
     using config_handler = std::function<void(std::shared_ptr<const active_config>)>;
     using targets_handler = std::function<void(const target_snapshot &)>;
+    using clock = std::function<instant()>;
 
     /// @param heartbeat interval at which targets renew their registration
     /// @param firstReads the first store read; until then peers may already provide the documents
+    /// @param now read when answers of the store and of peers arrive
     fleet_state(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, milliseconds heartbeat,
-                instant startedAt, first_reads firstReads);
+                instant startedAt, first_reads firstReads, clock now = std::chrono::steady_clock::now);
 
     /// Starts the reads that are due.
     void tick(const reader_place &place, instant now);
@@ -121,6 +123,7 @@
     peer_fetch m_fetch;
     config_handler m_onConfig;
     targets_handler m_onTargets;
+    clock m_clock;
     instant m_startedAt;
     first_reads m_firstReads;
     std::shared_ptr<const active_config> m_config;
