Do not pass on targets that a node only assumes; tell an outage from a cut

After an outage of the store the opposite: 503 for up to two seconds, though the servers were alive.

Cause: nodes did not tell what they had read from what they assumed, and each judged the store by its own answers. A node whose reads had a gap kept the servers that its next read did not list, since their registrations may have expired in an outage; it stored the completed list under the revision of that read and announced it. A node that was cut off alone did the same, and as changes of the configuration raise the store's revision, calm nodes took its list for the newest. In an outage, on the other hand, each message of a peer with an equal list counted as an answer of the store, so that the gap was never noticed and nothing was kept.

Ruled out: requests of the cut node's clients, and late reads of the calm node.

Change: known_targets holds the registry's list and, apart from it, the missing targets in use. Peers exchange the registry's list by its revision; missing targets are marked, and only a node that has no list from before the outage takes them over. registry_contact combines since when the registry answered this node and its peers without a gap: an answer to any of them in the gap shows that the registry was not away, and a gap without a failed read is none. Missing targets are dropped by the clock, 2 s after the fleet's first answer. Lists of earlier releases, which do not mark missing targets, neither replace nor confirm a list, and are not passed on; after an outage such nodes get no age of the list, so that they read the store themselves. The log and the metrics show the number of missing targets.

--- /dev/null
+++ b/src/flamingofield/discovery/registry_contact.cpp
@@ -0,0 +1,73 @@
+#include "discovery/registry_contact.hpp"
+
+#include <algorithm>
+
+namespace flamingofield {
+
+namespace {
+
+/// Peers tell ages, not times, so each message makes a time later by its delay. Smaller advances are ignored, or messages that go round
+/// among peers would hide an outage.
+constexpr milliseconds minAdvance{200};
+
+instant advanced(instant known, instant told)
+{
+    return told > known + minAdvance ? told : known;
+}
+
+std::optional<instant> latest(const std::optional<instant> &known, const std::optional<instant> &told)
+{
+    return known && told ? advanced(*known, *told) : known ? known : told;
+}
+
+} // namespace
+
+registry_contact::registry_contact(milliseconds heartbeat)
+    : m_minExpiryTime(heartbeat * 2 - heartbeat / 3)
+{
+}
+
+void registry_contact::recordAnswer(instant at)
+{
+    merge({at, at, std::nullopt});
+    m_period->end = std::max(m_period->end, at);
+}
+
+void registry_contact::recordFailure(instant at)
+{
+    m_failedAt = m_failedAt ? std::max(*m_failedAt, at) : at;
+}
+
+void registry_contact::merge(const contact_period &other)
+{
+    if (!m_period) {
+        m_period = other;
+        return;
+    }
+    contact_period &own = *m_period;
+    if (other.start > own.end + m_minExpiryTime) {
+        own = {other.start, other.end, latest(failedSince(), other.outageStart)};
+    } else if (other.end + m_minExpiryTime >= own.start) {
+        own = {std::min(own.start, other.start), advanced(own.end, other.end), latest(own.outageStart, other.outageStart)};
+    }
+    if (own.outageStart && *own.outageStart + m_minExpiryTime >= own.start) {
+        own.outageStart.reset();
+    }
+}
+
+std::optional<instant> registry_contact::failedSince() const
+{
+    return m_failedAt && *m_failedAt > m_period->end ? std::optional<instant>(m_period->end) : std::nullopt;
+}
+
+bool registry_contact::isAwaitingRenewals(instant now) const
+{
+    if (!m_period || !m_period->outageStart) {
+        return false;
+    }
+    // While the registry does not answer, nothing can be renewed.
+    const bool hasAnsweredLongEnough = m_period->end >= m_period->start + renewalTime / 2;
+    return now < m_period->start + renewalTime || !hasAnsweredLongEnough;
+}
+
+} // namespace flamingofield
--- /dev/null
+++ b/src/flamingofield/discovery/registry_contact.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/time.hpp"
+
+#include <optional>
+
+namespace flamingofield {
+
+/// A time during which the registry answered at least one node of the fleet without a gap in which registrations can expire.
+struct contact_period
+{
+    instant start{}; ///< First answer of the registry.
+    instant end{}; ///< Latest answer that is known.
+    /// Latest answer before the outage of the registry that ended with the period; unset if there was none, as far as is known.
+    std::optional<instant> outageStart;
+};
+
+/// Combines what this node and its peers know about when the registry answered. It distinguishes an outage of the registry, in which
+/// registrations of live targets expire, from a time in which only this node received no answer: the reads of a node that is cut off fail
+/// as well, but its peers had answers meanwhile. Does no I/O and reads no clock.
+class registry_contact
+{
+public:
+    /// Time after an outage within which targets renew registrations that expired during it, according to the platform's contract.
+    static constexpr milliseconds renewalTime{2000};
+
+    /// @param heartbeat interval at which targets renew their registration; it expires after three of them
+    explicit registry_contact(milliseconds heartbeat);
+
+    /// Records an answer of the registry to this node.
+    void recordAnswer(instant at);
+
+    /// Records that the registry did not answer this node. A gap without a failed call is not an outage: the node relied on its peers.
+    void recordFailure(instant at);
+
+    /// Adds what a peer knows.
+    void merge(const contact_period &other);
+
+    /// The present period; unset until the first answer.
+    const std::optional<contact_period> &period() const
+    {
+        return m_period;
+    }
+
+    /// True if the registry has returned from an outage so recently that targets may still have to renew their registrations, or has failed
+    /// again since.
+    bool isAwaitingRenewals(instant now) const;
+
+private:
+    /// Latest answer before the gap that ends now, if calls of this node failed in it.
+    std::optional<instant> failedSince() const;
+
+    /// No registration can expire in a shorter outage: the last renewal was at most one heartbeat before it.
+    milliseconds m_minExpiryTime;
+    std::optional<contact_period> m_period;
+    std::optional<instant> m_failedAt;
+};
+
+} // namespace flamingofield
--- a/src/flamingofield/discovery/target_snapshot.hpp
+++ b/src/flamingofield/discovery/target_snapshot.hpp
@@ -4,7 +4,7 @@
 #include "core/time.hpp"
 
 #include <cstdint>
-#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,36 +30,17 @@
     std::vector<target_entry> targets; ///< Sorted by id.
 };
 
+/// What a node knows of the targets, as its peers fetch it.
+struct target_document
+{
+    target_snapshot registered; ///< As the registry listed them, or as the node uses them if missing is unset.
+    /// Used although the registry does not list them, see known_targets; sorted by id. Unset if the node does not tell them from those
+    /// that are listed, like nodes of earlier releases.
+    std::optional<std::vector<target_entry>> missing;
+};
+
 /// Hash of the fields that matter for routing: ids, services, addresses, data centres, slots, states and incarnations; not of the
 /// revision.
 std::uint64_t digestOf(const target_snapshot &snapshot);
 
-/// Keeps targets whose registrations expired while the registry was unavailable, until they have had time to register again.
-class missing_target_guard
-{
-public:
-    /// Time after an outage within which targets renew registrations that expired during it, according to the platform's contract.
-    static constexpr milliseconds renewalTime{2000};
-
-    /// @param heartbeat interval at which targets renew their registration; it expires after three of them
-    explicit missing_target_guard(milliseconds heartbeat = milliseconds(1500))
-        : m_minExpiryTime(heartbeat * 2 - heartbeat / 3)
-    {
-    }
-
-    /// Records that a snapshot was applied from another node, which has completed it in the same way.
-    void recordPeerSnapshot(instant now);
-
-    /// Adds the targets that may be alive although the read does not list them.
-    /// @param previous snapshot that was in use before the read
-    /// @param read what the registry returned, sorted by id
-    target_snapshot addMissingTargets(const target_snapshot &previous, target_snapshot read, instant now);
-
-private:
-    /// No registration can expire in an outage shorter than this: the last renewal was at most one heartbeat before it.
-    milliseconds m_minExpiryTime;
-    instant m_lastRead{};
-    instant m_holdUntil{};
-};
-
 } // namespace flamingofield
--- a/src/flamingofield/edge/fleet_state.cpp
+++ b/src/flamingofield/edge/fleet_state.cpp
@@ -18,11 +18,42 @@
 constexpr auto targetsPath = "/mesh/targets";
 constexpr auto revisionField = "Document-Revision";
 
+/// Longer contact with the registry is told as this long, which takes fewer bytes. Peers need to know only that it covers a gap of theirs.
+constexpr std::uint32_t maxToldContactMs = 60000;
+
+std::uint32_t ageOf(instant at, instant now)
+{
+    return static_cast<std::uint32_t>(std::max<long long>(0, toMilliseconds(now - at)));
+}
+
+/// Nodes of earlier releases do not tell when the registry answered, and announce lists with missing targets as lists of the registry.
+bool isFromEarlierRelease(const fleet_state_summary &summary)
+{
+    return summary.contactStartMs == fleet_state_summary::unknownAge && summary.targetsAgeMs != fleet_state_summary::unknownAge;
+}
+
+/// The sender's contact with the registry; nothing if it has had none.
+std::optional<contact_period> contactOf(const fleet_state_summary &summary, instant now)
+{
+    if (isFromEarlierRelease(summary)) {
+        const instant confirmedAt = now - milliseconds(summary.targetsAgeMs);
+        return contact_period{confirmedAt, confirmedAt, std::nullopt};
+    }
+    if (summary.contactStartMs == fleet_state_summary::unknownAge) {
+        return std::nullopt;
+    }
+    contact_period contact{now - milliseconds(summary.contactStartMs), now - milliseconds(summary.contactEndMs), std::nullopt};
+    if (summary.outageStartMs != fleet_state_summary::unknownAge) {
+        contact.outageStart = now - milliseconds(summary.outageStartMs);
+    }
+    return contact;
+}
+
 } // namespace
 
 std::uint32_t confirmation::ageForPeers(instant now) const
 {
-    return m_at ? static_cast<std::uint32_t>(std::max<long long>(0, toMilliseconds(now - *m_at))) : fleet_state_summary::unknownAge;
+    return m_at ? ageOf(*m_at, now) : fleet_state_summary::unknownAge;
 }
 
 fleet_state::fleet_state(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, milliseconds heartbeat,
@@ -36,9 +67,9 @@
     , m_firstReads(firstReads)
     , m_configConfirmation(startedAt)
     , m_configReads(configReadIntervals)
+    , m_targets(heartbeat)
     , m_targetsConfirmation(startedAt)
     , m_targetReads(targetReadIntervals)
-    , m_missingTargetGuard(heartbeat)
 {
 }
 
@@ -54,6 +85,8 @@
 
 void fleet_state::tick(const reader_place &place, instant now)
 {
+    m_targets.removeExpired(now);
+    useTargets("renewal time", now);
     const std::size_t position = place.position;
     const start_knowledge knowledge = place.nodes == 0 ? start_knowledge::alone
         : reading_schedule::isFirstInLine(position)    ? start_knowledge::firstInLine
@@ -68,7 +101,7 @@
         schedule->setPosition(position);
         schedule->setCrowd(place.nodes, fraction);
     }
-    const std::size_t targetsPosition = m_hasTargets ? position : 0;
+    const std::size_t targetsPosition = m_targets.hasRegisteredList() ? position : 0;
     const std::size_t configPosition = m_config != nullptr ? position : 0;
     if (m_targetReads.isDue(targetsPosition, targetsAge(now), now)) {
         readTargets(now);
@@ -105,34 +138,32 @@
         const instant endedAt = m_clock();
         if (!read) {
             m_targetReads.failed(endedAt);
+            m_targets.recordFailedRead(endedAt);
             noteStoreFailure("read targets", read.error());
             return;
         }
         m_targetReads.succeeded();
         noteStoreAnswer("read targets");
-        if (read.value().revision >= m_targets.revision) {
-            applyTargets(m_missingTargetGuard.addMissingTargets(m_targets, std::move(read.value()), endedAt), "store", requestedAt,
-                         endedAt);
+        if (m_targets.applyRead(std::move(read.value()), endedAt)) {
+            m_targetsConfirmation.record(requestedAt);
         }
+        useTargets("store", endedAt);
     });
 }
 
-void fleet_state::applyTargets(target_snapshot snapshot, std::string_view source, instant confirmedAt, instant now)
+void fleet_state::useTargets(std::string_view source, instant now)
 {
-    const std::uint64_t digest = digestOf(snapshot);
-    const bool isChanged = !m_hasTargets || digest != m_targetsDigest;
-    m_targets = std::move(snapshot);
-    m_targetsDigest = digest;
-    m_hasTargets = true;
-    m_targetsConfirmation.record(confirmedAt);
-    if (isChanged) {
-        logEvent(log_level::info, "targets_taken_up",
-                 {{"source", std::string(source)},
-                  {"revision", std::to_string(m_targets.revision)},
-                  {"targets", std::to_string(m_targets.targets.size())},
-                  {"age_ms", std::to_string(toMilliseconds(now - confirmedAt))}});
-        m_onTargets(m_targets);
+    if (!m_targets.takeChange()) {
+        return;
     }
+    const target_snapshot targets = m_targets.inUse();
+    logEvent(log_level::info, "targets_taken_up",
+             {{"source", std::string(source)},
+              {"revision", std::to_string(targets.revision)},
+              {"targets", std::to_string(targets.targets.size())},
+              {"missing", std::to_string(m_targets.missing())},
+              {"age_ms", std::to_string(toMilliseconds(targetsAge(now)))}});
+    m_onTargets(targets);
 }
 
 void fleet_state::readConfig(instant now)
@@ -254,15 +285,29 @@
 
 void fleet_state::handlePeerTargets(node_address peer, const fleet_state_summary &peerSummary, instant now)
 {
-    if (peerSummary.targetsAgeMs == fleet_state_summary::unknownAge || peerSummary.targetsRevision < m_targets.revision) {
+    if (const auto contact = contactOf(peerSummary, now)) {
+        m_targets.applyPeerContact(*contact, now);
+        useTargets("peer", now);
+    }
+    if (peerSummary.targetsAgeMs == fleet_state_summary::unknownAge) {
         return;
     }
     const instant confirmedAt = now - milliseconds(peerSummary.targetsAgeMs);
-    if (m_hasTargets && peerSummary.targetsDigest == m_targetsDigest) {
-        m_targets.revision = peerSummary.targetsRevision;
-        m_targetsConfirmation.record(confirmedAt);
-        m_missingTargetGuard.recordPeerSnapshot(now);
-    } else if (!m_isFetchingTargets && (peerSummary.targetsRevision > m_targets.revision || !m_hasTargets)) {
+    const bool isSame = m_targets.hasList() && peerSummary.targetsDigest == m_targets.digest();
+    bool isWanted = !isSame && peerSummary.targetsRevision > m_targets.revision();
+    if (isFromEarlierRelease(peerSummary)) {
+        // Such a list may contain missing targets, so it neither replaces nor confirms one that was read from the registry.
+        isWanted = !m_targets.hasList() || (isWanted && !m_targets.hasRegisteredList());
+    } else if (!m_targets.hasRegisteredList()) {
+        isWanted = true;
+    } else {
+        if (isSame && peerSummary.targetsRevision >= m_targets.revision()) {
+            m_targets.confirm(peerSummary.targetsRevision);
+            m_targetsConfirmation.record(confirmedAt);
+        }
+        isWanted = isWanted || (m_targets.awaitsMissing(now) && peerSummary.missingTargets > m_targets.missing());
+    }
+    if (isWanted && !m_isFetchingTargets) {
         fetchTargets(peer, confirmedAt);
     }
 }
@@ -276,13 +321,15 @@
             return; // The next message from a peer that is ahead starts another fetch.
         }
         const instant endedAt = m_clock();
-        auto decoded = decodeTargetSnapshot(answer.value().body);
+        auto decoded = decodeTargetDocument(answer.value().body);
         if (!decoded) {
             logEvent(log_level::error, "targets_rejected", {{"source", "peer"}, {"error", describe(decoded.error())}});
-        } else if (decoded.value().revision > m_targets.revision || !m_hasTargets) {
-            m_missingTargetGuard.recordPeerSnapshot(endedAt);
-            applyTargets(std::move(decoded.value()), "peer", confirmedAt, endedAt);
+            return;
+        }
+        if (m_targets.applyPeerDocument(std::move(decoded.value()), endedAt)) {
+            m_targetsConfirmation.record(confirmedAt);
         }
+        useTargets("peer", endedAt);
     });
 }
 
@@ -291,10 +338,18 @@
     fleet_state_summary summary;
     summary.config = m_config == nullptr ? config_stamp() : m_config->config.stamp;
     summary.configBytes = static_cast<std::uint32_t>(m_document.bytes.size());
-    summary.targetsRevision = m_targets.revision;
-    summary.targetsDigest = m_targetsDigest;
+    summary.targetsRevision = m_targets.revision();
+    summary.targetsDigest = m_targets.digest();
     summary.targetsAgeMs = m_targetsConfirmation.ageForPeers(now);
     summary.configAgeMs = m_configConfirmation.ageForPeers(now);
+    summary.missingTargets = static_cast<std::uint32_t>(m_targets.missing());
+    if (const auto &contact = m_targets.contact()) {
+        summary.contactEndMs = ageOf(contact->end, now);
+        summary.contactStartMs = std::min(ageOf(contact->start, now), summary.contactEndMs + maxToldContactMs);
+        if (contact->outageStart && m_targets.isAwaitingRenewals(now)) {
+            summary.outageStartMs = ageOf(*contact->outageStart, now);
+        }
+    }
     return summary;
 }
 
@@ -306,9 +361,9 @@
         answer.status = 200;
         answer.fields.add(revisionField, std::to_string(m_document.revision));
         answer.body = m_document.bytes;
-    } else if (path == targetsPath && m_hasTargets) {
+    } else if (path == targetsPath && m_targets.hasRegisteredList()) {
         answer.status = 200;
-        answer.body = encode(m_targets);
+        answer.body = encode(m_targets.document());
     }
     return answer;
 }
--- a/src/flamingofield/edge/fleet_state.hpp
+++ b/src/flamingofield/edge/fleet_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "discovery/known_targets.hpp"
 #include "edge/edge_settings.hpp"
 #include "mesh/member_table.hpp"
 #include "store/reading_schedule.hpp"
@@ -100,7 +101,13 @@
     /// True once this node has a configuration and a target list.
     bool hasConfigAndTargets() const
     {
-        return m_config != nullptr && m_hasTargets;
+        return m_config != nullptr && m_targets.hasList();
+    }
+
+    /// Number of targets in use that the registry does not list, see known_targets.
+    std::size_t missingTargets() const
+    {
+        return m_targets.missing();
     }
 
     duration targetsAge(instant now) const;
@@ -115,7 +122,8 @@
     void readConfig(instant now);
     void watchConfig(instant now);
     void applyConfig(const store_document &document, std::string_view source);
-    void applyTargets(target_snapshot snapshot, std::string_view source, instant confirmedAt, instant now);
+    /// Uses the known targets if they have changed.
+    void useTargets(std::string_view source, instant now);
     void noteStoreAnswer(std::string_view call);
     void noteStoreFailure(std::string_view call, const error &failure);
 
@@ -132,13 +140,10 @@
     bool m_isFetchingConfig = false;
     std::uint64_t m_watchAfter = 0; ///< Store revision after which the next watch reports changes; zero if the document must be read first.
     reading_schedule m_configReads;
-    target_snapshot m_targets;
-    std::uint64_t m_targetsDigest = 0;
-    bool m_hasTargets = false;
+    known_targets m_targets;
     bool m_isFetchingTargets = false;
     confirmation m_targetsConfirmation;
     reading_schedule m_targetReads;
-    missing_target_guard m_missingTargetGuard;
     bool m_isStoreLost = false;
 };
 
--- a/src/flamingofield/flamingofield.hpp
+++ b/src/flamingofield/flamingofield.hpp
@@ -21,6 +21,7 @@
 #include "core/error.hpp"
 #include "core/hash.hpp"
 #include "core/time.hpp"
+#include "discovery/known_targets.hpp"
 #include "discovery/target_snapshot.hpp"
 #include "edge/edge_node.hpp"
 #include "fleet/membership.hpp"
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -11,6 +11,12 @@
 constexpr int messageFormat = 7;
 /// Elements of a message that all nodes of this format send.
 constexpr std::uint32_t messageElements = 10;
+/// Elements of a fleet state with the contact to the registry, which nodes of earlier releases do not send.
+constexpr std::uint32_t contactElements = 9;
+/// Further elements of a fleet state after an outage of the registry.
+constexpr std::uint32_t outageElements = 3;
+/// Elements of a target document with missing targets, which nodes of earlier releases do not send.
+constexpr std::uint32_t missingElements = 3;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -73,9 +79,16 @@
 
 void pack(packer &out, const fleet_state_summary &fleetState)
 {
-    out.pack_array(7);
+    const bool isAfterOutage = fleetState.outageStartMs != fleet_state_summary::unknownAge || fleetState.missingTargets > 0;
+    out.pack_array(contactElements + (isAfterOutage ? outageElements : 0));
     out.pack(fleetState.config.version).pack(fleetState.config.revision).pack(fleetState.configBytes);
-    out.pack(fleetState.targetsRevision).pack(fleetState.targetsDigest).pack(fleetState.targetsAgeMs).pack(fleetState.configAgeMs);
+    out.pack(fleetState.targetsRevision).pack(fleetState.targetsDigest);
+    // Nodes of earlier releases would use the registry's list as it is; without an age they read it themselves and keep missing targets.
+    out.pack(isAfterOutage ? fleet_state_summary::unknownAge : fleetState.targetsAgeMs);
+    out.pack(fleetState.configAgeMs).pack(fleetState.contactStartMs).pack(fleetState.contactEndMs);
+    if (isAfterOutage) {
+        out.pack(fleetState.outageStartMs).pack(fleetState.missingTargets).pack(fleetState.targetsAgeMs);
+    }
 }
 
 fleet_state_summary unpackFleetState(const msgpack::object &object)
@@ -89,6 +102,15 @@
     fleetState.targetsDigest = in.as<std::uint64_t>();
     fleetState.targetsAgeMs = in.as<std::uint32_t>();
     fleetState.configAgeMs = in.as<std::uint32_t>();
+    if (in.size() >= contactElements) {
+        fleetState.contactStartMs = in.as<std::uint32_t>();
+        fleetState.contactEndMs = in.as<std::uint32_t>();
+    }
+    if (in.size() >= contactElements + outageElements) {
+        fleetState.outageStartMs = in.as<std::uint32_t>();
+        fleetState.missingTargets = in.as<std::uint32_t>();
+        fleetState.targetsAgeMs = in.as<std::uint32_t>();
+    }
     return fleetState;
 }
 
@@ -237,24 +259,30 @@
     });
 }
 
-std::string encode(const target_snapshot &snapshot)
+std::string encode(const target_document &document)
 {
     msgpack::sbuffer buffer;
     packer out(buffer);
-    out.pack_array(2);
-    out.pack(snapshot.revision);
-    packRows(out, snapshot.targets);
+    out.pack_array(document.missing ? missingElements : missingElements - 1);
+    out.pack(document.registered.revision);
+    packRows(out, document.registered.targets);
+    if (document.missing) {
+        packRows(out, *document.missing);
+    }
     return {buffer.data(), buffer.size()};
 }
 
-result<target_snapshot> decodeTargetSnapshot(std::string_view bytes)
+result<target_document> decodeTargetDocument(std::string_view bytes)
 {
     return decodeWith(bytes, [](const msgpack::object &object) {
         array_reader in(object);
-        target_snapshot snapshot;
-        snapshot.revision = in.as<std::uint64_t>();
-        snapshot.targets = unpackRows(in.next(), unpackTarget);
-        return snapshot;
+        target_document document;
+        document.registered.revision = in.as<std::uint64_t>();
+        document.registered.targets = unpackRows(in.next(), unpackTarget);
+        if (in.size() >= missingElements) {
+            document.missing = unpackRows(in.next(), unpackTarget);
+        }
+        return document;
     });
 }
 
--- a/src/flamingofield/mesh/mesh_message.hpp
+++ b/src/flamingofield/mesh/mesh_message.hpp
@@ -35,9 +35,14 @@
     config_stamp config;
     std::uint32_t configBytes = 0; ///< Length of the configuration's document.
     std::uint64_t targetsRevision = 0;
-    std::uint64_t targetsDigest = 0;
+    std::uint64_t targetsDigest = 0; ///< Of the targets that the registry lists.
     std::uint32_t targetsAgeMs = unknownAge; ///< Time since a reader confirmed the targets at the registry.
     std::uint32_t configAgeMs = unknownAge; ///< Time since a reader confirmed the configuration at the store.
+    // The sender's contact_period of the registry, as times that have passed since.
+    std::uint32_t contactStartMs = unknownAge; ///< Since its start.
+    std::uint32_t contactEndMs = unknownAge; ///< Since its end.
+    std::uint32_t outageStartMs = unknownAge; ///< Since the start of the outage before it; set only while renewals are awaited.
+    std::uint32_t missingTargets = 0; ///< Number of targets that the sender uses although the registry does not list them.
 
     static constexpr std::uint32_t unknownAge = 0xffffffffU;
 };
@@ -75,10 +80,10 @@
 /// @return the message, or an error of step "decode peer message" with the number of bytes as its peer
 result<mesh_message> decodeMeshMessage(std::string_view bytes);
 
-/// Encodes a target snapshot as MessagePack, for nodes that fetch it from a peer.
-std::string encode(const target_snapshot &snapshot);
+/// Encodes the known targets as MessagePack, for nodes that fetch them from a peer.
+std::string encode(const target_document &document);
 
-/// @return the snapshot, or an error of step "decode peer message"
-result<target_snapshot> decodeTargetSnapshot(std::string_view bytes);
+/// @return the document, or an error of step "decode peer message"
+result<target_document> decodeTargetDocument(std::string_view bytes);
 
 } // namespace flamingofield
--- a/tests/system/platform_tests.cpp
+++ b/tests/system/platform_tests.cpp
@@ -21,6 +21,8 @@
 constexpr seconds applyLimit{2};
 constexpr seconds drainLimit{2};
 constexpr seconds graceLimit{6};
+/// Time after an outage of the store within which live servers register again.
+constexpr seconds renewalTime{2};
 
 /// Threads are started with std::async, because its futures join in their destructors, also when an assertion fails.
 class platform_tests : public CppUnit::TestFixture
@@ -36,6 +38,7 @@
     CPPUNIT_TEST(followsTheTargetsAmongOddEntriesOfOtherWriters);
     CPPUNIT_TEST(appliesConfigurationsOnAllNodesInTime);
     CPPUNIT_TEST(keepsServingWhileTheStoreIsSilentAndAppliesChangesAfterwards);
+    CPPUNIT_TEST(keepsServersWhoseRegistrationsExpiredWhileTheStoreWasDown);
     CPPUNIT_TEST(appliesChangesMissingFromADroppedHistory);
     CPPUNIT_TEST(readsTheStoreThroughFewNodes);
     CPPUNIT_TEST(stopsWithoutInterruptingARequest);
@@ -242,6 +245,36 @@
         CPPUNIT_ASSERT(awaitTrue([&] { return fleet.send(2, "POST", "/added/", "id-2").status == 200; }, seconds(5)));
     }
 
+    /// Guards against live servers that get no requests after an outage of the store until they have registered again, and against
+    /// servers that are used for longer.
+    void keepsServersWhoseRegistrationsExpiredWhileTheStoreWasDown()
+    {
+        platform_fleet fleet(3, 2);
+        CPPUNIT_ASSERT(fleet.start());
+        platform_standins::store_behaviour silent;
+        silent.isSilent = true;
+        fleet.store.setBehaviour(silent);
+        std::this_thread::sleep_for(seconds(5));
+        fleet.removeServer(0);
+        fleet.removeServer(1);
+        fleet.store.setBehaviour({});
+        const auto returnedAt = std::chrono::steady_clock::now();
+        int requests = 0;
+        const auto serveUntil = [&](std::chrono::steady_clock::time_point end) {
+            while (std::chrono::steady_clock::now() < end) {
+                const std::string id = "id-" + std::to_string(++requests);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 200, fleet.send(static_cast<std::size_t>(requests % 3), "POST", "/write/", id).status);
+            }
+        };
+        serveUntil(returnedAt + milliseconds(1500));
+        fleet.registerServer(0, false);
+        const auto removalLimit = returnedAt + renewalTime + milliseconds(1500);
+        serveUntil(removalLimit);
+        const auto before = fleet.servers[1]->runCounts().size();
+        serveUntil(removalLimit + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(before, fleet.servers[1]->runCounts().size());
+    }
+
     void appliesChangesMissingFromADroppedHistory()
     {
         platform_fleet fleet(3, 1);
