Take each confirmation of a list from peers only once

What callers saw: DRAIN, if the node that reads the store is lost: requests to a server more than two seconds after it left, sent by nodes that reach the store.

Cause: peers tell ages, so each message made the time of a confirmation later by its delay, and a node took the latest time that it heard. Nodes that told each other about the same read kept it young: with messages that take 60 ms, no node of six read the store for two seconds after the reader was lost. The same holds for the configuration, and in an outage it kept all but one node from asking.

Change: a confirmation names its reader and its number (8 to 12 bytes more a message). A confirmation that is known is not taken again; that of another reader, or of a node of an earlier release, only if it is later by 200 ms.

--- a/src/flamingofield/edge/fleet_state.cpp
+++ b/src/flamingofield/edge/fleet_state.cpp
@@ -1,5 +1,6 @@
 #include "edge/fleet_state.hpp"
 
+#include "core/hash.hpp"
 #include "report/log.hpp"
 
 #include <algorithm>
@@ -26,6 +27,19 @@
     return static_cast<std::uint32_t>(std::max<long long>(0, toMilliseconds(now - at)));
 }
 
+/// Age for messages to peers.
+std::uint32_t ageOf(const confirmation &confirmed, instant now)
+{
+    return confirmed.at() ? ageOf(*confirmed.at(), now) : fleet_state_summary::unknownAge;
+}
+
+/// Identifies this process among all nodes that read; never zero.
+std::uint16_t readerOf(const first_reads &firstReads, instant startedAt)
+{
+    constexpr std::uint64_t readers = 0xffffU;
+    return static_cast<std::uint16_t>(hashOf(std::to_string(startedAt.time_since_epoch().count()), firstReads.seed) % readers + 1);
+}
+
 /// Nodes of earlier releases do not tell when the registry answered, and announce lists with missing targets as lists of the registry.
 bool isFromEarlierRelease(const fleet_state_summary &summary)
 {
@@ -51,11 +65,6 @@
 
 } // namespace
 
-std::uint32_t confirmation::ageForPeers(instant now) const
-{
-    return m_at ? ageOf(*m_at, now) : fleet_state_summary::unknownAge;
-}
-
 fleet_state::fleet_state(store_calls store, peer_fetch fetch, config_handler onConfig, targets_handler onTargets, milliseconds heartbeat,
                          instant startedAt, first_reads firstReads, clock now)
     : m_store(std::move(store))
@@ -65,10 +74,10 @@
     , m_clock(std::move(now))
     , m_startedAt(startedAt)
     , m_firstReads(firstReads)
-    , m_configConfirmation(startedAt)
+    , m_configConfirmation(startedAt, readerOf(firstReads, startedAt))
     , m_configReads(configReadIntervals)
     , m_targets(heartbeat)
-    , m_targetsConfirmation(startedAt)
+    , m_targetsConfirmation(startedAt, readerOf(firstReads, startedAt))
     , m_targetReads(targetReadIntervals)
 {
 }
@@ -252,7 +261,7 @@
 {
     const config_stamp own = m_config == nullptr ? config_stamp() : m_config->config.stamp;
     if (peerSummary.config == own && m_config != nullptr && peerSummary.configAgeMs != fleet_state_summary::unknownAge) {
-        m_configConfirmation.record(now - milliseconds(peerSummary.configAgeMs));
+        m_configConfirmation.recordTold(peerSummary.configConfirmation, now - milliseconds(peerSummary.configAgeMs));
     }
     if (!(own < peerSummary.config)) {
         return;
@@ -303,19 +312,19 @@
     } else {
         if (isSame && peerSummary.targetsRevision >= m_targets.revision()) {
             m_targets.confirm(peerSummary.targetsRevision);
-            m_targetsConfirmation.record(confirmedAt);
+            m_targetsConfirmation.recordTold(peerSummary.targetsConfirmation, confirmedAt);
         }
         isWanted = isWanted || (m_targets.awaitsMissing(now) && peerSummary.missingTargets > m_targets.missing());
     }
     if (isWanted && !m_isFetchingTargets) {
-        fetchTargets(peer, confirmedAt);
+        fetchTargets(peer, peerSummary.targetsConfirmation, confirmedAt);
     }
 }
 
-void fleet_state::fetchTargets(node_address peer, instant confirmedAt)
+void fleet_state::fetchTargets(node_address peer, confirmation_id id, instant confirmedAt)
 {
     m_isFetchingTargets = true;
-    m_fetch(peer, targetsPath, [this, confirmedAt](result<http_answer_message> answer) {
+    m_fetch(peer, targetsPath, [this, id, confirmedAt](result<http_answer_message> answer) {
         m_isFetchingTargets = false;
         if (!answer || answer.value().status != 200) {
             return; // The next message from a peer that is ahead starts another fetch.
@@ -327,7 +336,7 @@
             return;
         }
         if (m_targets.applyPeerDocument(std::move(decoded.value()), endedAt)) {
-            m_targetsConfirmation.record(confirmedAt);
+            m_targetsConfirmation.recordTold(id, confirmedAt);
         }
         useTargets("peer", endedAt);
     });
@@ -340,8 +349,10 @@
     summary.configBytes = static_cast<std::uint32_t>(m_document.bytes.size());
     summary.targetsRevision = m_targets.revision();
     summary.targetsDigest = m_targets.digest();
-    summary.targetsAgeMs = m_targetsConfirmation.ageForPeers(now);
-    summary.configAgeMs = m_configConfirmation.ageForPeers(now);
+    summary.targetsAgeMs = ageOf(m_targetsConfirmation, now);
+    summary.configAgeMs = ageOf(m_configConfirmation, now);
+    summary.targetsConfirmation = m_targetsConfirmation.id();
+    summary.configConfirmation = m_configConfirmation.id();
     summary.missingTargets = static_cast<std::uint32_t>(m_targets.missing());
     if (const auto &contact = m_targets.contact()) {
         summary.contactEndMs = ageOf(contact->end, now);
--- a/src/flamingofield/edge/fleet_state.hpp
+++ b/src/flamingofield/edge/fleet_state.hpp
@@ -3,6 +3,7 @@
 #include "discovery/known_targets.hpp"
 #include "edge/edge_settings.hpp"
 #include "mesh/member_table.hpp"
+#include "store/confirmation.hpp"
 #include "store/reading_schedule.hpp"
 
 #include <algorithm>
@@ -26,34 +27,6 @@
 constexpr reading_schedule::read_intervals configReadIntervals{milliseconds(0),   milliseconds(1300), milliseconds(80),
                                                                milliseconds(100), milliseconds(800),  milliseconds(3200)};
 
-/// Time at which a reader last confirmed at the store that this node's copy of a document is current.
-class confirmation
-{
-public:
-    explicit confirmation(instant startedAt)
-        : m_startedAt(startedAt)
-    {
-    }
-
-    void record(instant at)
-    {
-        m_at = m_at ? std::max(*m_at, at) : at;
-    }
-
-    /// Time since the last confirmation, or since the process start if there was none.
-    duration age(instant now) const
-    {
-        return now - m_at.value_or(m_startedAt);
-    }
-
-    /// Age in milliseconds for messages to peers; unknownAge without a confirmation, since a process start confirms nothing.
-    std::uint32_t ageForPeers(instant now) const;
-
-private:
-    instant m_startedAt;
-    std::optional<instant> m_at;
-};
-
 /// When a node that has started reads the store for the first time.
 struct first_reads
 {
@@ -115,7 +88,7 @@
 
 private:
     void fetchConfig(node_address peer);
-    void fetchTargets(node_address peer, instant confirmedAt);
+    void fetchTargets(node_address peer, confirmation_id id, instant confirmedAt);
     void handlePeerConfig(node_address peer, const fleet_state_summary &peerSummary, instant now);
     void handlePeerTargets(node_address peer, const fleet_state_summary &peerSummary, instant now);
     void readTargets(instant now);
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -11,8 +11,8 @@
 constexpr int messageFormat = 7;
 /// Elements of a message that all nodes of this format send.
 constexpr std::uint32_t messageElements = 10;
-/// Elements of a fleet state with the contact to the registry, which nodes of earlier releases do not send.
-constexpr std::uint32_t contactElements = 9;
+/// Elements of a fleet state with the contact to the registry and the confirmations, which nodes of earlier releases do not send.
+constexpr std::uint32_t contactElements = 13;
 /// Further elements of a fleet state after an outage of the registry.
 constexpr std::uint32_t outageElements = 3;
 /// Elements of a target document with missing targets, which nodes of earlier releases do not send.
@@ -86,6 +86,9 @@
     // Nodes of earlier releases would use the registry's list as it is; without an age they read it themselves and keep missing targets.
     out.pack(isAfterOutage ? fleet_state_summary::unknownAge : fleetState.targetsAgeMs);
     out.pack(fleetState.configAgeMs).pack(fleetState.contactStartMs).pack(fleetState.contactEndMs);
+    for (const confirmation_id &id : {fleetState.targetsConfirmation, fleetState.configConfirmation}) {
+        out.pack(id.reader).pack(id.number);
+    }
     if (isAfterOutage) {
         out.pack(fleetState.outageStartMs).pack(fleetState.missingTargets).pack(fleetState.targetsAgeMs);
     }
@@ -105,6 +108,10 @@
     if (in.size() >= contactElements) {
         fleetState.contactStartMs = in.as<std::uint32_t>();
         fleetState.contactEndMs = in.as<std::uint32_t>();
+        for (confirmation_id *id : {&fleetState.targetsConfirmation, &fleetState.configConfirmation}) {
+            id->reader = in.as<std::uint16_t>();
+            id->number = in.as<std::uint16_t>();
+        }
     }
     if (in.size() >= contactElements + outageElements) {
         fleetState.outageStartMs = in.as<std::uint32_t>();
--- a/src/flamingofield/mesh/mesh_message.hpp
+++ b/src/flamingofield/mesh/mesh_message.hpp
@@ -6,6 +6,7 @@
 #include "core/error.hpp"
 #include "mesh/node_address.hpp"
 #include "route/forwarding_config.hpp"
+#include "store/confirmation.hpp"
 
 #include <cstdint>
 #include <string>
@@ -38,6 +39,8 @@
     std::uint64_t targetsDigest = 0; ///< Of the targets that the registry lists.
     std::uint32_t targetsAgeMs = unknownAge; ///< Time since a reader confirmed the targets at the registry.
     std::uint32_t configAgeMs = unknownAge; ///< Time since a reader confirmed the configuration at the store.
+    confirmation_id targetsConfirmation; ///< The one whose age is told.
+    confirmation_id configConfirmation; ///< The one whose age is told.
     // The sender's contact_period of the registry, as times that have passed since.
     std::uint32_t contactStartMs = unknownAge; ///< Since its start.
     std::uint32_t contactEndMs = unknownAge; ///< Since its end.
--- a/tests/edge/fleet_targets_tests.cpp
+++ b/tests/edge/fleet_targets_tests.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(usesNoTargetThatLeftAfterAPeerOfAnEarlierReleaseReturnsFromACut);
     CPPUNIT_TEST(removesATargetThatLeftAlthoughAPeerOfAnEarlierReleaseStillHasIt);
     CPPUNIT_TEST(removesATargetThatLeftAtItsFirstReadAfterItsHubsWereLost);
+    CPPUNIT_TEST(removesATargetThatLeftInTimeAfterTheReaderIsLostAlthoughMessagesTakeTime);
     CPPUNIT_TEST(dropsATargetThatLeftDuringItsOwnCutOnceAPeerTellsSo);
     CPPUNIT_TEST(keepsTargetsWhoseRegistrationsExpiredInAnOutage);
     CPPUNIT_TEST(keepsTargetsOnANodeThatStartsDuringOrAfterAnOutage);
@@ -199,6 +200,27 @@
         CPPUNIT_ASSERT(readAt != instant{});
     }
 
+    /// Guards against nodes that keep each other from reading: each message made the age of the list less by its delay.
+    void removesATargetThatLeftInTimeAfterTheReaderIsLostAlthoughMessagesTakeTime()
+    {
+        constexpr std::size_t size = 6;
+        fake_registry registry;
+        registerTargets(registry);
+        simulated_fleet fleet(size, registry);
+        for (std::size_t i = 0; i < size; ++i) {
+            fleet[i].messageTime = milliseconds(60);
+        }
+        fleet.run(seconds(3));
+        fleet[0].reachesPeers = false;
+        registry.remove("i-1");
+        fleet.run(drainTime);
+        fleet.run(seconds(2), [&] {
+            for (std::size_t i = 0; i < size; ++i) {
+                CPPUNIT_ASSERT_MESSAGE("node " + std::to_string(i), !uses(fleet, i, "i-1"));
+            }
+        });
+    }
+
     /// Guards against a node that uses a target which it only assumes although a peer knows that the registry was not away.
     void dropsATargetThatLeftDuringItsOwnCutOnceAPeerTellsSo()
     {
--- a/tests/support/simulated_fleet.hpp
+++ b/tests/support/simulated_fleet.hpp
@@ -3,7 +3,6 @@
 #include "edge/fleet_state.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -66,11 +65,12 @@
         bool reachesRegistry = true;
         bool reachesPeers = true;
         bool isHub = true; ///< Reads the registry before the others.
-        milliseconds fetchTime{0}; ///< Time until a peer's answer to this node arrives.
+        milliseconds messageTime{0}; ///< Time until a peer's message to this node arrives.
+        milliseconds fetchTime{0}; ///< The same for a peer's answer.
         std::unique_ptr<fleet_state> state;
         std::set<std::string> inUse; ///< Ids of the targets in use.
         std::vector<std::pair<instant, store_calls::handler<target_snapshot>>> reads; ///< Running ones, by the time of their timeout.
-        std::deque<std::pair<instant, std::function<void()>>> arrivals;
+        std::multimap<instant, std::function<void()>> arrivals;
     };
 
     simulated_fleet(std::size_t size, fake_registry &registry)
@@ -140,7 +140,15 @@
     {
         mesh_message message;
         message.fleetState = m_nodes[from].state->summaryForPeers(m_now);
-        m_nodes[to].state->handlePeerSummary(from, decodeMeshMessage(encode(message)).value().fleetState, m_now);
+        node &receiver = m_nodes[to];
+        const auto receive = [this, from, &receiver, bytes = encode(message)] {
+            receiver.state->handlePeerSummary(from, decodeMeshMessage(bytes).value().fleetState, m_now);
+        };
+        if (receiver.messageTime == milliseconds(0)) {
+            receive();
+        } else {
+            receiver.arrivals.emplace(m_now + receiver.messageTime, receive);
+        }
     }
 
     /// Delivers the summary of a peer of an earlier release, which does not mark the targets that it assumes.
@@ -165,9 +173,9 @@
     void runNode(std::size_t index)
     {
         node &each = m_nodes[index];
-        while (!each.arrivals.empty() && each.arrivals.front().first <= m_now) {
-            const auto arrive = std::move(each.arrivals.front().second);
-            each.arrivals.pop_front();
+        while (!each.arrivals.empty() && each.arrivals.begin()->first <= m_now) {
+            const auto arrive = std::move(each.arrivals.begin()->second);
+            each.arrivals.erase(each.arrivals.begin());
             arrive();
         }
         const auto reads = std::exchange(each.reads, {});
@@ -202,7 +210,7 @@
         } else {
             answer = m_nodes[peer].state->serve(path);
         }
-        by.arrivals.emplace_back(m_now + by.fetchTime, [answer, onEnd = std::move(onEnd)] { onEnd(answer); });
+        by.arrivals.emplace(m_now + by.fetchTime, [answer, onEnd = std::move(onEnd)] { onEnd(answer); });
     }
 
     static constexpr std::size_t firstFollowerPosition = 6;
