Recognize an outage that a node did not ask in; apply a peer's contact with its list

What callers saw: 503 after an outage at nodes that had not read the store in it, or whose read was under way when it returned; and for the time of a fetch at a node that came back from a cut.

A gap counted as an outage only if reads of this node failed in it, but most nodes ask rarely while others fail before them. And a peer's contact with the registry, which ends the time for which missing targets are used, was applied before its list, which has those that have registered again.

Change: a peer that has had no answer for as long as registrations last shows the outage, too. The contact of a peer whose list is newer is applied together with that list.

--- a/src/flamingofield/discovery/known_targets.cpp
+++ b/src/flamingofield/discovery/known_targets.cpp
@@ -59,12 +59,15 @@
 
 void known_targets::applyPeerContact(const contact_period &contact, instant now)
 {
-    m_contact.merge(contact);
+    m_contact.merge(contact, now);
     removeExpired(now);
 }
 
-bool known_targets::applyPeerDocument(target_document document, instant now)
+bool known_targets::applyPeerDocument(target_document document, const std::optional<contact_period> &contact, instant now)
 {
+    if (contact) {
+        m_contact.merge(*contact, now);
+    }
     std::vector<target_entry> candidates = candidatesAt(now);
     if (document.missing && isAwaitingRenewals(now) && (!hasRegisteredList() || awaitsMissing(now))) {
         candidates = merged(candidates, targetsOnlyIn(*document.missing, candidates));
--- a/src/flamingofield/discovery/known_targets.hpp
+++ b/src/flamingofield/discovery/known_targets.hpp
@@ -34,8 +34,9 @@
 
     /// Takes up what a peer knows: its list if that is newer, and its missing targets if awaitsMissing() holds. A list that may contain
     /// missing targets is used only while there is no other, and until there is one.
+    /// @param contact when the registry answered the peer, as it told when it announced the document
     /// @return true if the list was taken up as one of the registry
-    bool applyPeerDocument(target_document document, instant now);
+    bool applyPeerDocument(target_document document, const std::optional<contact_period> &contact, instant now);
 
     /// Raises the revision of the registry's list, which a reader has found unchanged.
     void confirm(std::uint64_t revision);
--- a/src/flamingofield/discovery/registry_contact.cpp
+++ b/src/flamingofield/discovery/registry_contact.cpp
@@ -29,7 +29,7 @@
 
 void registry_contact::recordAnswer(instant at)
 {
-    merge({at, at, std::nullopt});
+    add({at, at, std::nullopt});
     m_period->end = std::max(m_period->end, at);
 }
 
@@ -38,7 +38,15 @@
     m_failedAt = m_failedAt ? std::max(*m_failedAt, at) : at;
 }
 
-void registry_contact::merge(const contact_period &other)
+void registry_contact::merge(const contact_period &other, instant now)
+{
+    if (other.end + m_minExpiryTime < now) {
+        recordFailure(now);
+    }
+    add(other);
+}
+
+void registry_contact::add(const contact_period &other)
 {
     if (!m_period) {
         m_period = other;
--- a/src/flamingofield/discovery/registry_contact.hpp
+++ b/src/flamingofield/discovery/registry_contact.hpp
@@ -30,11 +30,11 @@
     /// Records an answer of the registry to this node.
     void recordAnswer(instant at);
 
-    /// Records that the registry did not answer this node. A gap without a failed call is not an outage: the node relied on its peers.
+    /// Records that the registry did not answer this node.
     void recordFailure(instant at);
 
     /// Adds what a peer knows.
-    void merge(const contact_period &other);
+    void merge(const contact_period &other, instant now);
 
     /// The present period; unset until the first answer.
     const std::optional<contact_period> &period() const
@@ -47,13 +47,15 @@
     bool isAwaitingRenewals(instant now) const;
 
 private:
-    /// Latest answer before the gap that ends now, if calls of this node failed in it.
+    void add(const contact_period &other);
+    /// Latest answer before a gap that is an outage, as far as this node knows: its call failed in it, or a peer had no answer for as long.
+    /// A node that relied on peers and lost them has asked nobody, so its gap is none.
     std::optional<instant> failedSince() const;
 
     /// No registration can expire in a shorter outage: the last renewal was at most one heartbeat before it.
     milliseconds m_minExpiryTime;
     std::optional<contact_period> m_period;
-    std::optional<instant> m_failedAt;
+    std::optional<instant> m_failedAt; ///< When the registry was last known not to answer.
 };
 
 } // namespace flamingofield
--- a/src/flamingofield/edge/fleet_state.cpp
+++ b/src/flamingofield/edge/fleet_state.cpp
@@ -294,37 +294,44 @@
 
 void fleet_state::handlePeerTargets(node_address peer, const fleet_state_summary &peerSummary, instant now)
 {
-    if (const auto contact = contactOf(peerSummary, now)) {
-        m_targets.applyPeerContact(*contact, now);
-        useTargets("peer", now);
-    }
-    if (peerSummary.targetsAgeMs == fleet_state_summary::unknownAge) {
-        return;
-    }
-    const instant confirmedAt = now - milliseconds(peerSummary.targetsAgeMs);
+    const peer_targets_state told{peerSummary.targetsConfirmation, now - milliseconds(peerSummary.targetsAgeMs),
+                                  contactOf(peerSummary, now)};
+    const bool hasAge = peerSummary.targetsAgeMs != fleet_state_summary::unknownAge;
     const bool isSame = m_targets.hasList() && peerSummary.targetsDigest == m_targets.digest();
-    bool isWanted = !isSame && peerSummary.targetsRevision > m_targets.revision();
+    const bool isNewer = !isSame && peerSummary.targetsRevision > m_targets.revision();
     if (isFromEarlierRelease(peerSummary)) {
         // Such a list may contain missing targets, so it neither replaces nor confirms one that was read from the registry.
-        isWanted = !m_targets.hasList() || (isWanted && !m_targets.hasRegisteredList());
-    } else if (!m_targets.hasRegisteredList()) {
-        isWanted = true;
-    } else {
-        if (isSame && peerSummary.targetsRevision >= m_targets.revision()) {
-            m_targets.confirm(peerSummary.targetsRevision);
-            m_targetsConfirmation.recordTold(peerSummary.targetsConfirmation, confirmedAt);
+        if (!m_targets.hasList() || (isNewer && !m_targets.hasRegisteredList())) {
+            fetchTargets(peer, told);
         }
-        isWanted = isWanted || (m_targets.awaitsMissing(now) && peerSummary.missingTargets > m_targets.missing());
+    } else if (hasAge && (isNewer || !m_targets.hasRegisteredList())) {
+        // The contact is applied together with the list, which has the targets that have registered again.
+        fetchTargets(peer, told);
+        return;
+    }
+    if (told.contact) {
+        m_targets.applyPeerContact(*told.contact, now);
+        useTargets("peer", now);
+    }
+    if (!hasAge || isFromEarlierRelease(peerSummary)) {
+        return;
     }
-    if (isWanted && !m_isFetchingTargets) {
-        fetchTargets(peer, peerSummary.targetsConfirmation, confirmedAt);
+    if (isSame && peerSummary.targetsRevision >= m_targets.revision()) {
+        m_targets.confirm(peerSummary.targetsRevision);
+        m_targetsConfirmation.recordTold(told.id, told.confirmedAt);
+    }
+    if (m_targets.awaitsMissing(now) && peerSummary.missingTargets > m_targets.missing()) {
+        fetchTargets(peer, told);
     }
 }
 
-void fleet_state::fetchTargets(node_address peer, confirmation_id id, instant confirmedAt)
+void fleet_state::fetchTargets(node_address peer, const peer_targets_state &told)
 {
+    if (m_isFetchingTargets) {
+        return;
+    }
     m_isFetchingTargets = true;
-    m_fetch(peer, targetsPath, [this, id, confirmedAt](result<http_answer_message> answer) {
+    m_fetch(peer, targetsPath, [this, told](result<http_answer_message> answer) {
         m_isFetchingTargets = false;
         if (!answer || answer.value().status != 200) {
             return; // The next message from a peer that is ahead starts another fetch.
@@ -335,8 +342,8 @@
             logEvent(log_level::error, "targets_rejected", {{"source", "peer"}, {"error", describe(decoded.error())}});
             return;
         }
-        if (m_targets.applyPeerDocument(std::move(decoded.value()), endedAt)) {
-            m_targetsConfirmation.recordTold(id, confirmedAt);
+        if (m_targets.applyPeerDocument(std::move(decoded.value()), told.contact, endedAt)) {
+            m_targetsConfirmation.recordTold(told.id, told.confirmedAt);
         }
         useTargets("peer", endedAt);
     });
--- a/src/flamingofield/edge/fleet_state.hpp
+++ b/src/flamingofield/edge/fleet_state.hpp
@@ -87,8 +87,16 @@
     duration configAge(instant now) const;
 
 private:
+    /// What a peer's message tells about its targets.
+    struct peer_targets_state
+    {
+        confirmation_id id; ///< Of the confirmation.
+        instant confirmedAt; ///< See fleet_state_summary::targetsAgeMs.
+        std::optional<contact_period> contact;
+    };
+
     void fetchConfig(node_address peer);
-    void fetchTargets(node_address peer, confirmation_id id, instant confirmedAt);
+    void fetchTargets(node_address peer, const peer_targets_state &told);
     void handlePeerConfig(node_address peer, const fleet_state_summary &peerSummary, instant now);
     void handlePeerTargets(node_address peer, const fleet_state_summary &peerSummary, instant now);
     void readTargets(instant now);
--- a/tests/discovery/known_targets_tests.cpp
+++ b/tests/discovery/known_targets_tests.cpp
@@ -96,26 +96,24 @@
         const known_targets peer = afterOutage({entry("a", 1), entry("b", 2)}, {entry("a", 1)});
         const instant now = start + milliseconds(5500);
         known_targets started(heartbeat);
-        started.applyPeerContact(*peer.contact(), now);
-        CPPUNIT_ASSERT(started.applyPeerDocument(peer.document(), now));
+        CPPUNIT_ASSERT(started.applyPeerDocument(peer.document(), peer.contact(), now));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), started.inUse().targets.size());
         // This node has seen the target leave before the outage.
         known_targets other(heartbeat);
         other.applyRead({1, {entry("a", 1)}}, start);
-        other.applyPeerContact(*peer.contact(), now);
-        CPPUNIT_ASSERT(other.applyPeerDocument(peer.document(), now));
+        CPPUNIT_ASSERT(other.applyPeerDocument(peer.document(), peer.contact(), now));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.inUse().targets.size());
     }
 
     void replacesAProvisionalListByAnyOfTheRegistry()
     {
         known_targets targets(heartbeat);
-        CPPUNIT_ASSERT(!targets.applyPeerDocument({{9, {entry("a", 1), entry("b", 2)}}, std::nullopt}, start));
+        CPPUNIT_ASSERT(!targets.applyPeerDocument({{9, {entry("a", 1), entry("b", 2)}}, std::nullopt}, std::nullopt, start));
         CPPUNIT_ASSERT(targets.hasList() && !targets.hasRegisteredList());
         CPPUNIT_ASSERT(targets.applyRead({5, {entry("a", 1)}}, start));
         CPPUNIT_ASSERT(targets.hasRegisteredList());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets.inUse().targets.size());
-        CPPUNIT_ASSERT(!targets.applyPeerDocument({{9, {entry("b", 2)}}, std::nullopt}, start));
+        CPPUNIT_ASSERT(!targets.applyPeerDocument({{9, {entry("b", 2)}}, std::nullopt}, std::nullopt, start));
         CPPUNIT_ASSERT_EQUAL(std::string("a"), targets.inUse().targets[0].id);
     }
 };
--- a/tests/discovery/registry_contact_tests.cpp
+++ b/tests/discovery/registry_contact_tests.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(registry_contact_tests);
     CPPUNIT_TEST(awaitsRenewalsAfterAGapInWhichRegistrationsCanExpire);
     CPPUNIT_TEST(awaitsNoneAfterAGapInWhichTheNodeDidNotAsk);
+    CPPUNIT_TEST(awaitsRenewalsAfterAGapOfAPeerThatItHearsMeanwhile);
     CPPUNIT_TEST(awaitsNoneWhenAPeerHadContactDuringTheGap);
     CPPUNIT_TEST(awaitsNoneWhenContactsOfSeveralPeersCoverTheGap);
     CPPUNIT_TEST(learnsOfAnOutageFromPeers);
@@ -59,18 +60,30 @@
         CPPUNIT_ASSERT(!silent.isAwaitingRenewals(at(6000)));
         registry_contact reader = contactBetween(0, 1000);
         reader.recordAnswer(at(6100));
-        reader.merge(*silent.period());
+        reader.merge(*silent.period(), at(6100));
         CPPUNIT_ASSERT(reader.isAwaitingRenewals(at(6100)));
-        silent.merge(*reader.period());
+        silent.merge(*reader.period(), at(6100));
         CPPUNIT_ASSERT(silent.isAwaitingRenewals(at(6100)));
     }
 
+    /// A node that does not ask, since others fail before it, is the first to get an answer.
+    void awaitsRenewalsAfterAGapOfAPeerThatItHearsMeanwhile()
+    {
+        for (const int heardMs : {3000, 5500}) {
+            registry_contact silent(milliseconds(1500));
+            silent.recordAnswer(at(1000));
+            silent.merge(*contactBetween(0, 1000).period(), at(heardMs));
+            silent.recordAnswer(at(6000));
+            CPPUNIT_ASSERT_EQUAL(heardMs == 5500, silent.isAwaitingRenewals(at(6000)));
+        }
+    }
+
     void awaitsNoneWhenAPeerHadContactDuringTheGap()
     {
         registry_contact contact = contactBetween(0, 3000);
         contact.recordAnswer(at(9000));
         CPPUNIT_ASSERT(contact.isAwaitingRenewals(at(9000)));
-        contact.merge(*contactBetween(1000, 8900).period());
+        contact.merge(*contactBetween(1000, 8900).period(), at(9000));
         CPPUNIT_ASSERT(!contact.isAwaitingRenewals(at(9000)));
     }
 
@@ -81,9 +94,9 @@
             contact.recordAnswer(at(12000));
             const contact_period earlier = *contactBetween(4000, 7000).period();
             const contact_period later = *contactBetween(8000, 11000).period();
-            contact.merge(isLaterFirst ? later : earlier);
-            contact.merge(isLaterFirst ? earlier : later);
-            contact.merge(isLaterFirst ? later : earlier);
+            contact.merge(isLaterFirst ? later : earlier, at(12000));
+            contact.merge(isLaterFirst ? earlier : later, at(12000));
+            contact.merge(isLaterFirst ? later : earlier, at(12000));
             CPPUNIT_ASSERT(!contact.isAwaitingRenewals(at(12000)));
         }
     }
@@ -96,12 +109,12 @@
         registry_contact started(milliseconds(1500));
         started.recordAnswer(at(9100));
         CPPUNIT_ASSERT(!started.isAwaitingRenewals(at(9100)));
-        started.merge(*reader.period());
+        started.merge(*reader.period(), at(9100));
         CPPUNIT_ASSERT(started.isAwaitingRenewals(at(10900)));
         started.recordAnswer(at(10500));
         CPPUNIT_ASSERT(!started.isAwaitingRenewals(at(11000)));
         registry_contact follower = contactBetween(0, 2500);
-        follower.merge(*started.period());
+        follower.merge(*started.period(), at(10500));
         CPPUNIT_ASSERT(follower.isAwaitingRenewals(at(10900)));
         CPPUNIT_ASSERT(!follower.isAwaitingRenewals(at(11000)));
     }
@@ -129,8 +142,8 @@
             return told;
         };
         for (int i = 0; i < 50; ++i) {
-            a.merge(delayed(*b.period()));
-            b.merge(delayed(*a.period()));
+            a.merge(delayed(*b.period()), at(3000 + 100 * i));
+            b.merge(delayed(*a.period()), at(3000 + 100 * i));
         }
         a.recordAnswer(at(6000));
         CPPUNIT_ASSERT(a.isAwaitingRenewals(at(6000)));
--- a/tests/edge/fleet_targets_tests.cpp
+++ b/tests/edge/fleet_targets_tests.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(removesATargetThatLeftAtItsFirstReadAfterItsHubsWereLost);
     CPPUNIT_TEST(removesATargetThatLeftInTimeAfterTheReaderIsLostAlthoughMessagesTakeTime);
     CPPUNIT_TEST(dropsATargetThatLeftDuringItsOwnCutOnceAPeerTellsSo);
+    CPPUNIT_TEST(keepsATargetThatRegisteredAgainUntilItsListArrives);
     CPPUNIT_TEST(keepsTargetsWhoseRegistrationsExpiredInAnOutage);
     CPPUNIT_TEST(keepsTargetsOnANodeThatStartsDuringOrAfterAnOutage);
     CPPUNIT_TEST(usesATargetSoonAfterItRegistersAgain);
@@ -221,6 +222,22 @@
         });
     }
 
+    /// Guards against a node that drops what it assumes before it has the list with the targets that have registered again.
+    void keepsATargetThatRegisteredAgainUntilItsListArrives()
+    {
+        fleet_after_outage after;
+        simulated_fleet &fleet = after.fleet;
+        fleet.run(milliseconds(900));
+        CPPUNIT_ASSERT(uses(fleet, 0, "i-1"));
+        fleet[0].reachesPeers = fleet[0].reachesRegistry = false;
+        after.registry.put("i-1");
+        fleet.run(seconds(3));
+        fleet[0].fetchTime = milliseconds(300);
+        fleet[0].reachesPeers = true;
+        fleet.run(seconds(2), [&] { CPPUNIT_ASSERT(uses(fleet, 0, "i-1")); });
+        CPPUNIT_ASSERT(!uses(fleet, 0, "i-2"));
+    }
+
     /// Guards against a node that uses a target which it only assumes although a peer knows that the registry was not away.
     void dropsATargetThatLeftDuringItsOwnCutOnceAPeerTellsSo()
     {
