Tell when the store answered by named confirmations, and together with the list

What callers saw: 503 after an outage, in random sequences with messages that take up to 80 ms: the times of the latest answer that nodes told each other got later with each message, so that the outage seemed too short, or a list arrived with what its sender had known before the outage.

Cause: the end of a contact period was an age without a name, like the ages before; and the contact was that of the message which announced the list, while the list fetched was a newer one.

Change: the end of the period is the confirmation of the list, which has a name. A fetched document carries its sender's state at that time. Of two starts of an outage the earlier one counts, since delays only make times later. In the simulated fleet, other nodes take the place of hubs that are lost.

--- a/src/flamingofield/discovery/known_targets.cpp
+++ b/src/flamingofield/discovery/known_targets.cpp
@@ -34,14 +34,14 @@
 
 } // namespace
 
-known_targets::known_targets(milliseconds heartbeat)
-    : m_contact(heartbeat)
+known_targets::known_targets(milliseconds heartbeat, std::uint16_t reader)
+    : m_contact(heartbeat, reader)
 {
 }
 
-bool known_targets::applyRead(target_snapshot registered, instant now)
+bool known_targets::applyRead(target_snapshot registered, confirmation_id own, instant now)
 {
-    m_contact.recordAnswer(now);
+    m_contact.recordAnswer(own, now);
     if (hasRegisteredList() && registered.revision < m_registered.revision) {
         removeExpired(now);
         return false;
@@ -57,16 +57,16 @@
     m_contact.recordFailure(now);
 }
 
-void known_targets::applyPeerContact(const contact_period &contact, instant now)
+void known_targets::applyPeerContact(const peer_contact &contact, instant now)
 {
-    m_contact.merge(contact, now);
+    m_contact.merge(contact.period, contact.latest, now);
     removeExpired(now);
 }
 
-bool known_targets::applyPeerDocument(target_document document, const std::optional<contact_period> &contact, instant now)
+bool known_targets::applyPeerDocument(target_document document, const std::optional<peer_contact> &contact, instant now)
 {
     if (contact) {
-        m_contact.merge(*contact, now);
+        m_contact.merge(contact->period, contact->latest, now);
     }
     std::vector<target_entry> candidates = candidatesAt(now);
     if (document.missing && isAwaitingRenewals(now) && (!hasRegisteredList() || awaitsMissing(now))) {
--- a/src/flamingofield/discovery/known_targets.hpp
+++ b/src/flamingofield/discovery/known_targets.hpp
@@ -10,6 +10,13 @@
 
 namespace flamingofield {
 
+/// When the registry answered a peer or, as far as that knows, other nodes.
+struct peer_contact
+{
+    contact_period period;
+    confirmation_id latest; ///< The answer at the period's end.
+};
+
 /// This node's list of targets: those of the newest list of the registry that it or a peer has read and, for a time after an outage of the
 /// registry, those whose registrations may have expired in it.
 ///
@@ -19,24 +26,25 @@
 {
 public:
     /// @param heartbeat interval at which targets renew their registration
-    explicit known_targets(milliseconds heartbeat);
+    /// @param reader identifies this process, see confirmation_id
+    known_targets(milliseconds heartbeat, std::uint16_t reader);
 
     /// Takes up an answer of the registry to this node; its list only if none newer is known.
     /// @param registered sorted by id
     /// @return true if the list was taken up
-    bool applyRead(target_snapshot registered, instant now);
+    bool applyRead(target_snapshot registered, confirmation_id own, instant now);
 
     /// Records that the registry did not answer this node.
     void recordFailedRead(instant now);
 
     /// Takes up when the registry answered a peer.
-    void applyPeerContact(const contact_period &contact, instant now);
+    void applyPeerContact(const peer_contact &contact, instant now);
 
     /// Takes up what a peer knows: its list if that is newer, and its missing targets if awaitsMissing() holds. A list that may contain
     /// missing targets is used only while there is no other, and until there is one.
-    /// @param contact when the registry answered the peer, as it told when it announced the document
+    /// @param contact when the registry answered the peer until it sent the document
     /// @return true if the list was taken up as one of the registry
-    bool applyPeerDocument(target_document document, const std::optional<contact_period> &contact, instant now);
+    bool applyPeerDocument(target_document document, const std::optional<peer_contact> &contact, instant now);
 
     /// Raises the revision of the registry's list, which a reader has found unchanged.
     void confirm(std::uint64_t revision);
--- a/src/flamingofield/discovery/registry_contact.cpp
+++ b/src/flamingofield/discovery/registry_contact.cpp
@@ -6,31 +6,24 @@
 
 namespace {
 
-/// Peers tell ages, not times, so each message makes a time later by its delay. Smaller advances are ignored, or messages that go round
-/// among peers would hide an outage.
-constexpr milliseconds minAdvance{200};
-
-instant advanced(instant known, instant told)
+/// Peers tell ages, not times, so each message makes a time later by its delay: the earliest is the most precise.
+std::optional<instant> earliest(const std::optional<instant> &known, const std::optional<instant> &told)
 {
-    return told > known + minAdvance ? told : known;
-}
-
-std::optional<instant> latest(const std::optional<instant> &known, const std::optional<instant> &told)
-{
-    return known && told ? advanced(*known, *told) : known ? known : told;
+    return known && told ? std::min(*known, *told) : known ? known : told;
 }
 
 } // namespace
 
-registry_contact::registry_contact(milliseconds heartbeat)
+registry_contact::registry_contact(milliseconds heartbeat, std::uint16_t reader)
     : m_minExpiryTime(heartbeat * 2 - heartbeat / 3)
+    , m_answers({}, reader)
 {
 }
 
-void registry_contact::recordAnswer(instant at)
+void registry_contact::recordAnswer(confirmation_id own, instant at)
 {
+    m_answers.record(own, at);
     add({at, at, std::nullopt});
-    m_period->end = std::max(m_period->end, at);
 }
 
 void registry_contact::recordFailure(instant at)
@@ -38,11 +31,14 @@
     m_failedAt = m_failedAt ? std::max(*m_failedAt, at) : at;
 }
 
-void registry_contact::merge(const contact_period &other, instant now)
+void registry_contact::merge(contact_period other, confirmation_id id, instant now)
 {
     if (other.end + m_minExpiryTime < now) {
         recordFailure(now);
     }
+    if (!m_answers.recordTold(id, other.end)) {
+        other.end = std::min(other.end, m_period->end);
+    }
     add(other);
 }
 
@@ -54,9 +50,9 @@
     }
     contact_period &own = *m_period;
     if (other.start > own.end + m_minExpiryTime) {
-        own = {other.start, other.end, latest(failedSince(), other.outageStart)};
+        own = {other.start, other.end, earliest(failedSince(), other.outageStart)};
     } else if (other.end + m_minExpiryTime >= own.start) {
-        own = {std::min(own.start, other.start), advanced(own.end, other.end), latest(own.outageStart, other.outageStart)};
+        own = {std::min(own.start, other.start), std::max(own.end, other.end), earliest(own.outageStart, other.outageStart)};
     }
     if (own.outageStart && *own.outageStart + m_minExpiryTime >= own.start) {
         own.outageStart.reset();
--- a/src/flamingofield/discovery/registry_contact.hpp
+++ b/src/flamingofield/discovery/registry_contact.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.hpp"
+#include "store/confirmation.hpp"
 
 #include <optional>
 
@@ -25,16 +26,18 @@
     static constexpr milliseconds renewalTime{2000};
 
     /// @param heartbeat interval at which targets renew their registration; it expires after three of them
-    explicit registry_contact(milliseconds heartbeat);
+    /// @param reader identifies this process
+    registry_contact(milliseconds heartbeat, std::uint16_t reader);
 
     /// Records an answer of the registry to this node.
-    void recordAnswer(instant at);
+    void recordAnswer(confirmation_id own, instant at);
 
     /// Records that the registry did not answer this node.
     void recordFailure(instant at);
 
     /// Adds what a peer knows.
-    void merge(const contact_period &other, instant now);
+    /// @param id of the latest answer that it knows
+    void merge(contact_period other, confirmation_id id, instant now);
 
     /// The present period; unset until the first answer.
     const std::optional<contact_period> &period() const
@@ -42,6 +45,12 @@
         return m_period;
     }
 
+    /// The answer at the end of the period.
+    confirmation_id latest() const
+    {
+        return m_answers.id();
+    }
+
     /// True if the registry has returned from an outage so recently that targets may still have to renew their registrations, or has failed
     /// again since.
     bool isAwaitingRenewals(instant now) const;
@@ -54,6 +63,7 @@
 
     /// No registration can expire in a shorter outage: the last renewal was at most one heartbeat before it.
     milliseconds m_minExpiryTime;
+    confirmation m_answers; ///< The latest answer, which is the end of the period.
     std::optional<contact_period> m_period;
     std::optional<instant> m_failedAt; ///< When the registry was last known not to answer.
 };
--- a/src/flamingofield/edge/fleet_state.cpp
+++ b/src/flamingofield/edge/fleet_state.cpp
@@ -47,18 +47,20 @@
 }
 
 /// The sender's contact with the registry; nothing if it has had none.
-std::optional<contact_period> contactOf(const fleet_state_summary &summary, instant now)
+std::optional<peer_contact> contactOf(const fleet_state_summary &summary, instant now)
 {
-    if (isFromEarlierRelease(summary)) {
-        const instant confirmedAt = now - milliseconds(summary.targetsAgeMs);
-        return contact_period{confirmedAt, confirmedAt, std::nullopt};
-    }
-    if (summary.contactStartMs == fleet_state_summary::unknownAge) {
+    if (summary.targetsAgeMs == fleet_state_summary::unknownAge) {
         return std::nullopt;
     }
-    contact_period contact{now - milliseconds(summary.contactStartMs), now - milliseconds(summary.contactEndMs), std::nullopt};
+    const instant confirmedAt = now - milliseconds(summary.targetsAgeMs);
+    peer_contact contact{{confirmedAt, confirmedAt, std::nullopt}, summary.targetsConfirmation};
+    if (summary.contactStartMs != fleet_state_summary::unknownAge) {
+        contact.period.start = now - milliseconds(summary.contactStartMs);
+        // The confirmation dates from the request, the start of the period from the answer.
+        contact.period.end = std::max(confirmedAt, contact.period.start);
+    }
     if (summary.outageStartMs != fleet_state_summary::unknownAge) {
-        contact.outageStart = now - milliseconds(summary.outageStartMs);
+        contact.period.outageStart = now - milliseconds(summary.outageStartMs);
     }
     return contact;
 }
@@ -74,10 +76,11 @@
     , m_clock(std::move(now))
     , m_startedAt(startedAt)
     , m_firstReads(firstReads)
-    , m_configConfirmation(startedAt, readerOf(firstReads, startedAt))
+    , m_lastConfirmation{readerOf(firstReads, startedAt), 0}
+    , m_configConfirmation(startedAt, m_lastConfirmation.reader)
     , m_configReads(configReadIntervals)
-    , m_targets(heartbeat)
-    , m_targetsConfirmation(startedAt, readerOf(firstReads, startedAt))
+    , m_targets(heartbeat, m_lastConfirmation.reader)
+    , m_targetsConfirmation(startedAt, m_lastConfirmation.reader)
     , m_targetReads(targetReadIntervals)
 {
 }
@@ -140,6 +143,12 @@
     }
 }
 
+confirmation_id fleet_state::nextConfirmation()
+{
+    ++m_lastConfirmation.number;
+    return m_lastConfirmation;
+}
+
 void fleet_state::readTargets(instant now)
 {
     m_targetReads.started(now);
@@ -153,8 +162,9 @@
         }
         m_targetReads.succeeded();
         noteStoreAnswer("read targets");
-        if (m_targets.applyRead(std::move(read.value()), endedAt)) {
-            m_targetsConfirmation.record(requestedAt);
+        const confirmation_id own = nextConfirmation();
+        if (m_targets.applyRead(std::move(read.value()), own, endedAt)) {
+            m_targetsConfirmation.record(own, requestedAt);
         }
         useTargets("store", endedAt);
     });
@@ -188,7 +198,7 @@
         m_configReads.succeeded();
         noteStoreAnswer("read configuration");
         m_watchAfter = read.value().second;
-        m_configConfirmation.record(requestedAt);
+        m_configConfirmation.record(nextConfirmation(), requestedAt);
         applyConfig(read.value().first, "store");
     });
 }
@@ -212,7 +222,7 @@
             return;
         }
         // A watch covers the time until it ends, a read only the time until it was sent.
-        m_configConfirmation.record(endedAt);
+        m_configConfirmation.record(nextConfirmation(), endedAt);
         // A watch answer may carry a later store revision although it missed a change, so the next watch starts at the revision of the
         // document that this node holds.
         if (end.value().change) {
@@ -294,56 +304,57 @@
 
 void fleet_state::handlePeerTargets(node_address peer, const fleet_state_summary &peerSummary, instant now)
 {
-    const peer_targets_state told{peerSummary.targetsConfirmation, now - milliseconds(peerSummary.targetsAgeMs),
-                                  contactOf(peerSummary, now)};
-    const bool hasAge = peerSummary.targetsAgeMs != fleet_state_summary::unknownAge;
+    const std::optional<peer_contact> told = contactOf(peerSummary, now);
+    if (!told) {
+        return;
+    }
     const bool isSame = m_targets.hasList() && peerSummary.targetsDigest == m_targets.digest();
     const bool isNewer = !isSame && peerSummary.targetsRevision > m_targets.revision();
     if (isFromEarlierRelease(peerSummary)) {
         // Such a list may contain missing targets, so it neither replaces nor confirms one that was read from the registry.
         if (!m_targets.hasList() || (isNewer && !m_targets.hasRegisteredList())) {
-            fetchTargets(peer, told);
+            fetchTargets(peer);
         }
-    } else if (hasAge && (isNewer || !m_targets.hasRegisteredList())) {
-        // The contact is applied together with the list, which has the targets that have registered again.
-        fetchTargets(peer, told);
+    } else if (isNewer || !m_targets.hasRegisteredList()) {
+        // What the peer tells with its list is applied together with that, which has the targets that have registered again.
+        fetchTargets(peer);
         return;
     }
-    if (told.contact) {
-        m_targets.applyPeerContact(*told.contact, now);
-        useTargets("peer", now);
-    }
-    if (!hasAge || isFromEarlierRelease(peerSummary)) {
+    m_targets.applyPeerContact(*told, now);
+    useTargets("peer", now);
+    if (isFromEarlierRelease(peerSummary)) {
         return;
     }
     if (isSame && peerSummary.targetsRevision >= m_targets.revision()) {
         m_targets.confirm(peerSummary.targetsRevision);
-        m_targetsConfirmation.recordTold(told.id, told.confirmedAt);
+        m_targetsConfirmation.recordTold(told->latest, told->period.end);
     }
     if (m_targets.awaitsMissing(now) && peerSummary.missingTargets > m_targets.missing()) {
-        fetchTargets(peer, told);
+        fetchTargets(peer);
     }
 }
 
-void fleet_state::fetchTargets(node_address peer, const peer_targets_state &told)
+void fleet_state::fetchTargets(node_address peer)
 {
     if (m_isFetchingTargets) {
         return;
     }
     m_isFetchingTargets = true;
-    m_fetch(peer, targetsPath, [this, told](result<http_answer_message> answer) {
+    m_fetch(peer, targetsPath, [this](result<http_answer_message> answer) {
         m_isFetchingTargets = false;
         if (!answer || answer.value().status != 200) {
             return; // The next message from a peer that is ahead starts another fetch.
         }
         const instant endedAt = m_clock();
-        auto decoded = decodeTargetDocument(answer.value().body);
+        auto decoded = decodeFetchedTargets(answer.value().body);
         if (!decoded) {
             logEvent(log_level::error, "targets_rejected", {{"source", "peer"}, {"error", describe(decoded.error())}});
             return;
         }
-        if (m_targets.applyPeerDocument(std::move(decoded.value()), told.contact, endedAt)) {
-            m_targetsConfirmation.recordTold(told.id, told.confirmedAt);
+        const auto &state = decoded.value().fleetState;
+        const std::optional<peer_contact> told = state ? contactOf(*state, endedAt) : std::nullopt;
+        if (m_targets.applyPeerDocument(std::move(decoded.value().document), told, endedAt) && told) {
+            m_targetsConfirmation.recordTold(told->latest, told->period.end);
         }
         useTargets("peer", endedAt);
     });
@@ -362,8 +373,7 @@
     summary.configConfirmation = m_configConfirmation.id();
     summary.missingTargets = static_cast<std::uint32_t>(m_targets.missing());
     if (const auto &contact = m_targets.contact()) {
-        summary.contactEndMs = ageOf(contact->end, now);
-        summary.contactStartMs = std::min(ageOf(contact->start, now), summary.contactEndMs + maxToldContactMs);
+        summary.contactStartMs = std::min(ageOf(contact->start, now), maxToldContactMs);
         if (contact->outageStart && m_targets.isAwaitingRenewals(now)) {
             summary.outageStartMs = ageOf(*contact->outageStart, now);
         }
@@ -381,7 +391,7 @@
         answer.body = m_document.bytes;
     } else if (path == targetsPath && m_targets.hasRegisteredList()) {
         answer.status = 200;
-        answer.body = encode(m_targets.document());
+        answer.body = encode({m_targets.document(), summaryForPeers(m_clock())});
     }
     return answer;
 }
--- a/src/flamingofield/edge/fleet_state.hpp
+++ b/src/flamingofield/edge/fleet_state.hpp
@@ -87,18 +87,11 @@
     duration configAge(instant now) const;
 
 private:
-    /// What a peer's message tells about its targets.
-    struct peer_targets_state
-    {
-        confirmation_id id; ///< Of the confirmation.
-        instant confirmedAt; ///< See fleet_state_summary::targetsAgeMs.
-        std::optional<contact_period> contact;
-    };
-
     void fetchConfig(node_address peer);
-    void fetchTargets(node_address peer, const peer_targets_state &told);
+    void fetchTargets(node_address peer);
     void handlePeerConfig(node_address peer, const fleet_state_summary &peerSummary, instant now);
     void handlePeerTargets(node_address peer, const fleet_state_summary &peerSummary, instant now);
+    confirmation_id nextConfirmation();
     void readTargets(instant now);
     void readConfig(instant now);
     void watchConfig(instant now);
@@ -117,6 +110,7 @@
     first_reads m_firstReads;
     std::shared_ptr<const active_config> m_config;
     store_document m_document;
+    confirmation_id m_lastConfirmation; ///< Latest by this node.
     confirmation m_configConfirmation;
     bool m_isFetchingConfig = false;
     std::uint64_t m_watchAfter = 0; ///< Store revision after which the next watch reports changes; zero if the document must be read first.
--- a/src/flamingofield/mesh/mesh_message.cpp
+++ b/src/flamingofield/mesh/mesh_message.cpp
@@ -12,11 +12,13 @@
 /// Elements of a message that all nodes of this format send.
 constexpr std::uint32_t messageElements = 10;
 /// Elements of a fleet state with the contact to the registry and the confirmations, which nodes of earlier releases do not send.
-constexpr std::uint32_t contactElements = 13;
+constexpr std::uint32_t contactElements = 12;
 /// Further elements of a fleet state after an outage of the registry.
 constexpr std::uint32_t outageElements = 3;
-/// Elements of a target document with missing targets, which nodes of earlier releases do not send.
-constexpr std::uint32_t missingElements = 3;
+/// Elements of a target document of earlier releases.
+constexpr std::uint32_t documentElements = 2;
+/// Elements of a target document with missing targets and the fleet state.
+constexpr std::uint32_t missingElements = 4;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -85,7 +87,7 @@
     out.pack(fleetState.targetsRevision).pack(fleetState.targetsDigest);
     // Nodes of earlier releases would use the registry's list as it is; without an age they read it themselves and keep missing targets.
     out.pack(isAfterOutage ? fleet_state_summary::unknownAge : fleetState.targetsAgeMs);
-    out.pack(fleetState.configAgeMs).pack(fleetState.contactStartMs).pack(fleetState.contactEndMs);
+    out.pack(fleetState.configAgeMs).pack(fleetState.contactStartMs);
     for (const confirmation_id &id : {fleetState.targetsConfirmation, fleetState.configConfirmation}) {
         out.pack(id.reader).pack(id.number);
     }
@@ -107,7 +109,6 @@
     fleetState.configAgeMs = in.as<std::uint32_t>();
     if (in.size() >= contactElements) {
         fleetState.contactStartMs = in.as<std::uint32_t>();
-        fleetState.contactEndMs = in.as<std::uint32_t>();
         for (confirmation_id *id : {&fleetState.targetsConfirmation, &fleetState.configConfirmation}) {
             id->reader = in.as<std::uint16_t>();
             id->number = in.as<std::uint16_t>();
@@ -266,30 +267,33 @@
     });
 }
 
-std::string encode(const target_document &document)
+std::string encode(const fetched_targets &targets)
 {
     msgpack::sbuffer buffer;
     packer out(buffer);
-    out.pack_array(document.missing ? missingElements : missingElements - 1);
-    out.pack(document.registered.revision);
-    packRows(out, document.registered.targets);
-    if (document.missing) {
-        packRows(out, *document.missing);
+    const bool hasMissing = targets.document.missing && targets.fleetState;
+    out.pack_array(hasMissing ? missingElements : documentElements);
+    out.pack(targets.document.registered.revision);
+    packRows(out, targets.document.registered.targets);
+    if (hasMissing) {
+        packRows(out, *targets.document.missing);
+        pack(out, *targets.fleetState);
     }
     return {buffer.data(), buffer.size()};
 }
 
-result<target_document> decodeTargetDocument(std::string_view bytes)
+result<fetched_targets> decodeFetchedTargets(std::string_view bytes)
 {
     return decodeWith(bytes, [](const msgpack::object &object) {
         array_reader in(object);
-        target_document document;
-        document.registered.revision = in.as<std::uint64_t>();
-        document.registered.targets = unpackRows(in.next(), unpackTarget);
+        fetched_targets targets;
+        targets.document.registered.revision = in.as<std::uint64_t>();
+        targets.document.registered.targets = unpackRows(in.next(), unpackTarget);
         if (in.size() >= missingElements) {
-            document.missing = unpackRows(in.next(), unpackTarget);
+            targets.document.missing = unpackRows(in.next(), unpackTarget);
+            targets.fleetState = unpackFleetState(in.next());
         }
-        return document;
+        return targets;
     });
 }
 
--- a/src/flamingofield/mesh/mesh_message.hpp
+++ b/src/flamingofield/mesh/mesh_message.hpp
@@ -9,6 +9,7 @@
 #include "store/confirmation.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,9 +42,8 @@
     std::uint32_t configAgeMs = unknownAge; ///< Time since a reader confirmed the configuration at the store.
     confirmation_id targetsConfirmation; ///< The one whose age is told.
     confirmation_id configConfirmation; ///< The one whose age is told.
-    // The sender's contact_period of the registry, as times that have passed since.
+    // The sender's contact_period of the registry, as times that have passed since. It ends with the confirmation of the targets.
     std::uint32_t contactStartMs = unknownAge; ///< Since its start.
-    std::uint32_t contactEndMs = unknownAge; ///< Since its end.
     std::uint32_t outageStartMs = unknownAge; ///< Since the start of the outage before it; set only while renewals are awaited.
     std::uint32_t missingTargets = 0; ///< Number of targets that the sender uses although the registry does not list them.
 
@@ -83,10 +83,18 @@
 /// @return the message, or an error of step "decode peer message" with the number of bytes as its peer
 result<mesh_message> decodeMeshMessage(std::string_view bytes);
 
+/// Targets of a node as a peer fetches them.
+struct fetched_targets
+{
+    target_document document;
+    /// The node's state at that time; unset if it is of an earlier release, whose document has no missing targets either.
+    std::optional<fleet_state_summary> fleetState;
+};
+
 /// Encodes the known targets as MessagePack, for nodes that fetch them from a peer.
-std::string encode(const target_document &document);
+std::string encode(const fetched_targets &targets);
 
-/// @return the document, or an error of step "decode peer message"
-result<target_document> decodeTargetDocument(std::string_view bytes);
+/// @return the targets, or an error of step "decode peer message"
+result<fetched_targets> decodeFetchedTargets(std::string_view bytes);
 
 } // namespace flamingofield
--- a/src/flamingofield/store/confirmation.cpp
+++ b/src/flamingofield/store/confirmation.cpp
@@ -11,21 +11,22 @@
 
 } // namespace
 
-void confirmation::record(instant at)
+void confirmation::record(confirmation_id own, instant at)
 {
-    ++m_number;
     if (!m_at || at > *m_at) {
-        m_id = {m_reader, m_number};
+        m_id = own;
         m_at = at;
     }
 }
 
-void confirmation::recordTold(confirmation_id id, instant at)
+bool confirmation::recordTold(confirmation_id id, instant at)
 {
-    if (isNews(id, at)) {
-        m_id = id;
-        m_at = m_at ? std::max(*m_at, at) : at;
+    if (!isNews(id, at)) {
+        return false;
     }
+    m_id = id;
+    m_at = m_at ? std::max(*m_at, at) : at;
+    return true;
 }
 
 bool confirmation::isNews(confirmation_id id, instant at) const
--- a/src/flamingofield/store/confirmation.hpp
+++ b/src/flamingofield/store/confirmation.hpp
@@ -29,10 +29,11 @@
     }
 
     /// Records a confirmation by this node.
-    void record(instant at);
+    void record(confirmation_id own, instant at);
 
     /// Records a confirmation that a peer tells.
-    void recordTold(confirmation_id id, instant at);
+    /// @return true if it was not known, and is later than the one that is
+    bool recordTold(confirmation_id id, instant at);
 
     /// Time since the latest confirmation, or since the process start if there was none.
     duration age(instant now) const
@@ -56,7 +57,6 @@
 
     instant m_startedAt;
     std::uint16_t m_reader;
-    std::uint16_t m_number = 0;
     confirmation_id m_id;
     std::optional<instant> m_at;
 };
--- a/tests/discovery/known_targets_tests.cpp
+++ b/tests/discovery/known_targets_tests.cpp
@@ -31,21 +31,32 @@
         return made;
     }
 
+    static confirmation_id nextAnswer()
+    {
+        static std::uint16_t number = 0;
+        return {1, ++number};
+    }
+
+    static peer_contact contactOf(const known_targets &peer)
+    {
+        return {*peer.contact(), nextAnswer()};
+    }
+
     /// Targets after an outage of five seconds.
     static known_targets afterOutage(const std::vector<target_entry> &before, const std::vector<target_entry> &listed)
     {
-        known_targets targets(heartbeat);
-        targets.applyRead({1, before}, start);
+        known_targets targets(heartbeat, 1);
+        targets.applyRead({1, before}, nextAnswer(), start);
         targets.recordFailedRead(start + seconds(1));
-        targets.applyRead({2, listed}, start + seconds(5));
+        targets.applyRead({2, listed}, nextAnswer(), start + seconds(5));
         return targets;
     }
 
     void removesATargetThatIsMissingWithoutAnOutage()
     {
-        known_targets targets(heartbeat);
-        targets.applyRead({1, {entry("a", 1), entry("b", 2)}}, start);
-        targets.applyRead({2, {entry("a", 1)}}, start + milliseconds(500));
+        known_targets targets(heartbeat, 1);
+        targets.applyRead({1, {entry("a", 1), entry("b", 2)}}, nextAnswer(), start);
+        targets.applyRead({2, {entry("a", 1)}}, nextAnswer(), start + milliseconds(500));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets.inUse().targets.size());
     }
 
@@ -54,7 +65,7 @@
         known_targets targets = afterOutage({entry("a", 1), entry("b", 2)}, {entry("a", 1)});
         const instant returnedAt = start + seconds(5);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets.inUse().targets.size());
-        targets.applyRead({3, {entry("a", 1)}}, returnedAt + seconds(1));
+        targets.applyRead({3, {entry("a", 1)}}, nextAnswer(), returnedAt + seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets.inUse().targets.size());
         targets.removeExpired(returnedAt + registry_contact::renewalTime - milliseconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets.inUse().targets.size());
@@ -68,10 +79,10 @@
     /// the target is not kept.
     void removesAMissingTargetAfterASlowRead()
     {
-        known_targets targets(heartbeat);
-        targets.applyRead({1, {entry("a", 1), entry("b", 2)}}, start);
+        known_targets targets(heartbeat, 1);
+        targets.applyRead({1, {entry("a", 1), entry("b", 2)}}, nextAnswer(), start);
         targets.recordFailedRead(start + milliseconds(1400));
-        targets.applyRead({2, {entry("a", 1)}}, start + milliseconds(1700));
+        targets.applyRead({2, {entry("a", 1)}}, nextAnswer(), start + milliseconds(1700));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets.inUse().targets.size());
     }
 
@@ -95,22 +106,22 @@
     {
         const known_targets peer = afterOutage({entry("a", 1), entry("b", 2)}, {entry("a", 1)});
         const instant now = start + milliseconds(5500);
-        known_targets started(heartbeat);
-        CPPUNIT_ASSERT(started.applyPeerDocument(peer.document(), peer.contact(), now));
+        known_targets started(heartbeat, 1);
+        CPPUNIT_ASSERT(started.applyPeerDocument(peer.document(), contactOf(peer), now));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), started.inUse().targets.size());
         // This node has seen the target leave before the outage.
-        known_targets other(heartbeat);
-        other.applyRead({1, {entry("a", 1)}}, start);
-        CPPUNIT_ASSERT(other.applyPeerDocument(peer.document(), peer.contact(), now));
+        known_targets other(heartbeat, 1);
+        other.applyRead({1, {entry("a", 1)}}, nextAnswer(), start);
+        CPPUNIT_ASSERT(other.applyPeerDocument(peer.document(), contactOf(peer), now));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.inUse().targets.size());
     }
 
     void replacesAProvisionalListByAnyOfTheRegistry()
     {
-        known_targets targets(heartbeat);
+        known_targets targets(heartbeat, 1);
         CPPUNIT_ASSERT(!targets.applyPeerDocument({{9, {entry("a", 1), entry("b", 2)}}, std::nullopt}, std::nullopt, start));
         CPPUNIT_ASSERT(targets.hasList() && !targets.hasRegisteredList());
-        CPPUNIT_ASSERT(targets.applyRead({5, {entry("a", 1)}}, start));
+        CPPUNIT_ASSERT(targets.applyRead({5, {entry("a", 1)}}, nextAnswer(), start));
         CPPUNIT_ASSERT(targets.hasRegisteredList());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets.inUse().targets.size());
         CPPUNIT_ASSERT(!targets.applyPeerDocument({{9, {entry("b", 2)}}, std::nullopt}, std::nullopt, start));
--- a/tests/discovery/registry_contact_tests.cpp
+++ b/tests/discovery/registry_contact_tests.cpp
@@ -26,15 +26,27 @@
         return start + milliseconds(ms);
     }
 
+    /// Records an answer to a process of its own.
+    static void answer(registry_contact &contact, instant when)
+    {
+        static std::uint16_t reader = 1;
+        contact.recordAnswer({++reader, 1}, when);
+    }
+
+    static void merge(registry_contact &contact, const registry_contact &other, instant now)
+    {
+        contact.merge(*other.period(), other.latest(), now);
+    }
+
     /// Contact whose answers were at most a second apart, and a failed call after it.
     static registry_contact contactBetween(int firstMs, int lastMs)
     {
-        registry_contact made(milliseconds(1500));
+        registry_contact made(milliseconds(1500), 1);
         made.recordFailure(at(lastMs + 1000));
         for (int ms = firstMs; ms < lastMs; ms += 1000) {
-            made.recordAnswer(at(ms));
+            answer(made, at(ms));
         }
-        made.recordAnswer(at(lastMs));
+        answer(made, at(lastMs));
         return made;
     }
 
@@ -42,11 +54,11 @@
     {
         registry_contact contact = contactBetween(0, 3000);
         CPPUNIT_ASSERT(!contact.isAwaitingRenewals(at(3000)));
-        contact.recordAnswer(at(5400));
+        answer(contact, at(5400));
         CPPUNIT_ASSERT(!contact.isAwaitingRenewals(at(5400)));
         contact.recordFailure(at(6400));
-        contact.recordAnswer(at(8000));
-        contact.recordAnswer(at(9500));
+        answer(contact, at(8000));
+        answer(contact, at(9500));
         CPPUNIT_ASSERT(contact.isAwaitingRenewals(at(9999)));
         CPPUNIT_ASSERT(!contact.isAwaitingRenewals(at(10000)));
     }
@@ -54,15 +66,15 @@
     /// A node that relied on its peers knows nothing of the time since it last heard them, and must not tell that it does.
     void awaitsNoneAfterAGapInWhichTheNodeDidNotAsk()
     {
-        registry_contact silent(milliseconds(1500));
-        silent.recordAnswer(at(0));
-        silent.recordAnswer(at(6000));
+        registry_contact silent(milliseconds(1500), 1);
+        answer(silent, at(0));
+        answer(silent, at(6000));
         CPPUNIT_ASSERT(!silent.isAwaitingRenewals(at(6000)));
         registry_contact reader = contactBetween(0, 1000);
-        reader.recordAnswer(at(6100));
-        reader.merge(*silent.period(), at(6100));
+        answer(reader, at(6100));
+        merge(reader, silent, at(6100));
         CPPUNIT_ASSERT(reader.isAwaitingRenewals(at(6100)));
-        silent.merge(*reader.period(), at(6100));
+        merge(silent, reader, at(6100));
         CPPUNIT_ASSERT(silent.isAwaitingRenewals(at(6100)));
     }
 
@@ -70,10 +82,10 @@
     void awaitsRenewalsAfterAGapOfAPeerThatItHearsMeanwhile()
     {
         for (const int heardMs : {3000, 5500}) {
-            registry_contact silent(milliseconds(1500));
-            silent.recordAnswer(at(1000));
-            silent.merge(*contactBetween(0, 1000).period(), at(heardMs));
-            silent.recordAnswer(at(6000));
+            registry_contact silent(milliseconds(1500), 1);
+            answer(silent, at(1000));
+            merge(silent, contactBetween(0, 1000), at(heardMs));
+            answer(silent, at(6000));
             CPPUNIT_ASSERT_EQUAL(heardMs == 5500, silent.isAwaitingRenewals(at(6000)));
         }
     }
@@ -81,9 +93,9 @@
     void awaitsNoneWhenAPeerHadContactDuringTheGap()
     {
         registry_contact contact = contactBetween(0, 3000);
-        contact.recordAnswer(at(9000));
+        answer(contact, at(9000));
         CPPUNIT_ASSERT(contact.isAwaitingRenewals(at(9000)));
-        contact.merge(*contactBetween(1000, 8900).period(), at(9000));
+        merge(contact, contactBetween(1000, 8900), at(9000));
         CPPUNIT_ASSERT(!contact.isAwaitingRenewals(at(9000)));
     }
 
@@ -91,12 +103,12 @@
     {
         for (const bool isLaterFirst : {false, true}) {
             registry_contact contact = contactBetween(0, 3000);
-            contact.recordAnswer(at(12000));
-            const contact_period earlier = *contactBetween(4000, 7000).period();
-            const contact_period later = *contactBetween(8000, 11000).period();
-            contact.merge(isLaterFirst ? later : earlier, at(12000));
-            contact.merge(isLaterFirst ? earlier : later, at(12000));
-            contact.merge(isLaterFirst ? later : earlier, at(12000));
+            answer(contact, at(12000));
+            const registry_contact earlier = contactBetween(4000, 7000);
+            const registry_contact later = contactBetween(8000, 11000);
+            merge(contact, isLaterFirst ? later : earlier, at(12000));
+            merge(contact, isLaterFirst ? earlier : later, at(12000));
+            merge(contact, isLaterFirst ? later : earlier, at(12000));
             CPPUNIT_ASSERT(!contact.isAwaitingRenewals(at(12000)));
         }
     }
@@ -105,16 +117,16 @@
     void learnsOfAnOutageFromPeers()
     {
         registry_contact reader = contactBetween(0, 3000);
-        reader.recordAnswer(at(9000));
-        registry_contact started(milliseconds(1500));
-        started.recordAnswer(at(9100));
+        answer(reader, at(9000));
+        registry_contact started(milliseconds(1500), 1);
+        answer(started, at(9100));
         CPPUNIT_ASSERT(!started.isAwaitingRenewals(at(9100)));
-        started.merge(*reader.period(), at(9100));
+        merge(started, reader, at(9100));
         CPPUNIT_ASSERT(started.isAwaitingRenewals(at(10900)));
-        started.recordAnswer(at(10500));
+        answer(started, at(10500));
         CPPUNIT_ASSERT(!started.isAwaitingRenewals(at(11000)));
         registry_contact follower = contactBetween(0, 2500);
-        follower.merge(*started.period(), at(10500));
+        merge(follower, started, at(10500));
         CPPUNIT_ASSERT(follower.isAwaitingRenewals(at(10900)));
         CPPUNIT_ASSERT(!follower.isAwaitingRenewals(at(11000)));
     }
@@ -122,11 +134,11 @@
     void awaitsRenewalsWhileTheRegistryFailsAgain()
     {
         registry_contact contact = contactBetween(0, 3000);
-        contact.recordAnswer(at(9000));
-        contact.recordAnswer(at(9500));
+        answer(contact, at(9000));
+        answer(contact, at(9500));
         contact.recordFailure(at(10500));
         CPPUNIT_ASSERT(contact.isAwaitingRenewals(at(13000)));
-        contact.recordAnswer(at(14000));
+        answer(contact, at(14000));
         CPPUNIT_ASSERT(contact.isAwaitingRenewals(at(15500)));
     }
 
@@ -142,10 +154,10 @@
             return told;
         };
         for (int i = 0; i < 50; ++i) {
-            a.merge(delayed(*b.period()), at(3000 + 100 * i));
-            b.merge(delayed(*a.period()), at(3000 + 100 * i));
+            a.merge(delayed(*b.period()), b.latest(), at(3000 + 100 * i));
+            b.merge(delayed(*a.period()), a.latest(), at(3000 + 100 * i));
         }
-        a.recordAnswer(at(6000));
+        answer(a, at(6000));
         CPPUNIT_ASSERT(a.isAwaitingRenewals(at(6000)));
     }
 };
--- a/tests/mesh/mesh_message_tests.cpp
+++ b/tests/mesh/mesh_message_tests.cpp
@@ -24,7 +24,6 @@
         state.targetsAgeMs = 30;
         state.configAgeMs = 40;
         state.contactStartMs = 900;
-        state.contactEndMs = 30;
         state.outageStartMs = outageStartMs;
         state.missingTargets = missingTargets;
         return state;
@@ -57,7 +56,6 @@
             CPPUNIT_ASSERT_EQUAL(std::uint32_t(30), decoded.targetsAgeMs);
             CPPUNIT_ASSERT_EQUAL(std::uint32_t(40), decoded.configAgeMs);
             CPPUNIT_ASSERT_EQUAL(std::uint32_t(900), decoded.contactStartMs);
-            CPPUNIT_ASSERT_EQUAL(std::uint32_t(30), decoded.contactEndMs);
             CPPUNIT_ASSERT_EQUAL(state.outageStartMs, decoded.outageStartMs);
             CPPUNIT_ASSERT_EQUAL(state.missingTargets, decoded.missingTargets);
         }
@@ -65,7 +63,7 @@
 
     void readsStatesOfEarlierReleases()
     {
-        // The state's array of nine elements with the last two removed, as earlier releases send it.
+        // The state's array without its last elements, as earlier releases send it.
         const std::string bytes = messageWith(stateAfterOutage(unknown, 0));
         const auto handle = msgpack::unpack(bytes.data(), bytes.size());
         constexpr std::size_t statePosition = 4;
@@ -83,12 +81,14 @@
     {
         target_entry entry;
         entry.id = "a";
-        const auto decodedOf = [](const target_document &document) { return decodeTargetDocument(encode(document)).value(); };
-        CPPUNIT_ASSERT(!decodedOf({{3, {entry}}, std::nullopt}).missing);
-        CPPUNIT_ASSERT(decodedOf({{3, {entry}}, std::vector<target_entry>()}).missing->empty());
-        const target_document both = decodedOf({{3, {}}, std::vector<target_entry>{entry}});
-        CPPUNIT_ASSERT(both.registered.targets.empty());
-        CPPUNIT_ASSERT_EQUAL(std::string("a"), both.missing->at(0).id);
+        const auto decodedOf = [](const fetched_targets &targets) { return decodeFetchedTargets(encode(targets)).value(); };
+        CPPUNIT_ASSERT(!decodedOf({{{3, {entry}}, std::nullopt}, std::nullopt}).document.missing);
+        const fleet_state_summary state = stateAfterOutage(6000, 1);
+        CPPUNIT_ASSERT(decodedOf({{{3, {entry}}, std::vector<target_entry>()}, state}).document.missing->empty());
+        const fetched_targets both = decodedOf({{{3, {}}, std::vector<target_entry>{entry}}, state});
+        CPPUNIT_ASSERT(both.document.registered.targets.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), both.document.missing->at(0).id);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(6000), both.fleetState->outageStartMs);
     }
 };
 
--- a/tests/store/confirmation_tests.cpp
+++ b/tests/store/confirmation_tests.cpp
@@ -36,10 +36,9 @@
         CPPUNIT_ASSERT_EQUAL(900, ageAt(confirmed, 1000));
         confirmed.recordTold({2, 0}, at(600));
         CPPUNIT_ASSERT_EQUAL(400, ageAt(confirmed, 1000));
-        confirmed.record(at(700));
+        confirmed.record({1, 4}, at(700));
         CPPUNIT_ASSERT_EQUAL(300, ageAt(confirmed, 1000));
-        const confirmation_id own = confirmed.id();
-        confirmed.recordTold(own, at(990));
+        CPPUNIT_ASSERT(!confirmed.recordTold({1, 4}, at(990)));
         CPPUNIT_ASSERT_EQUAL(300, ageAt(confirmed, 1000));
     }
 
--- a/tests/support/simulated_fleet.hpp
+++ b/tests/support/simulated_fleet.hpp
@@ -189,7 +189,12 @@
             }
         }
         const bool isAlone = !each.reachesPeers || m_nodes.size() == 1;
-        const std::size_t position = each.isHub ? index : index + firstFollowerPosition;
+        // Other nodes take the place of hubs that are lost.
+        const bool hasHub
+            = std::any_of(m_nodes.begin(), m_nodes.end(), [](const node &other) { return other.isHub && other.reachesPeers; });
+        const auto before = std::count_if(m_nodes.begin(), m_nodes.begin() + static_cast<std::ptrdiff_t>(index),
+                                          [](const node &other) { return other.reachesPeers; });
+        const std::size_t position = static_cast<std::size_t>(before) + (each.isHub || !hasHub ? 0 : firstFollowerPosition);
         each.state->tick(isAlone ? reader_place() : reader_place{position, liveNodes}, m_now);
         if (isAlone || (m_now + step * index).time_since_epoch() % messageInterval != duration::zero()) {
             return;
@@ -206,7 +211,7 @@
         http_answer_message answer;
         if (peer == earlierPeer) {
             answer.status = 200;
-            answer.body = encode(target_document{earlierList, std::nullopt});
+            answer.body = encode(fetched_targets{{earlierList, std::nullopt}, std::nullopt});
         } else {
             answer = m_nodes[peer].state->serve(path);
         }
