Tell a long contact period with its end, also in an outage of over a minute

The start of the period that is told was at most 60 s ago, instead of 60 s before its end, so that in a longer outage it lay behind the latest answer.

--- a/src/flamingofield/edge/fleet_state.cpp
+++ b/src/flamingofield/edge/fleet_state.cpp
@@ -310,7 +310,8 @@
     }
     const bool isSame = m_targets.hasList() && peerSummary.targetsDigest == m_targets.digest();
     const bool isNewer = !isSame && peerSummary.targetsRevision > m_targets.revision();
-    if (isFromEarlierRelease(peerSummary)) {
+    const bool isEarlier = isFromEarlierRelease(peerSummary);
+    if (isEarlier) {
         // Such a list may contain missing targets, so it neither replaces nor confirms one that was read from the registry.
         if (!m_targets.hasList() || (isNewer && !m_targets.hasRegisteredList())) {
             fetchTargets(peer);
@@ -322,7 +323,7 @@
     }
     m_targets.applyPeerContact(*told, now);
     useTargets("peer", now);
-    if (isFromEarlierRelease(peerSummary)) {
+    if (isEarlier) {
         return;
     }
     if (isSame && peerSummary.targetsRevision >= m_targets.revision()) {
@@ -373,7 +374,7 @@
     summary.configConfirmation = m_configConfirmation.id();
     summary.missingTargets = static_cast<std::uint32_t>(m_targets.missing());
     if (const auto &contact = m_targets.contact()) {
-        summary.contactStartMs = std::min(ageOf(contact->start, now), maxToldContactMs);
+        summary.contactStartMs = std::min(ageOf(contact->start, now), ageOf(contact->end, now) + maxToldContactMs);
         if (contact->outageStart && m_targets.isAwaitingRenewals(now)) {
             summary.outageStartMs = ageOf(*contact->outageStart, now);
         }
--- a/tests/edge/fleet_targets_tests.cpp
+++ b/tests/edge/fleet_targets_tests.cpp
@@ -286,7 +286,8 @@
     void keepsTargetsWhoseRegistrationsExpiredInAnOutage()
     {
         for (const milliseconds changeInterval : {milliseconds(10), milliseconds(330), milliseconds(10000)}) {
-            fleet_after_outage after;
+            const bool isLong = changeInterval == milliseconds(330);
+            fleet_after_outage after([&](simulated_fleet &fleet) { fleet.run(seconds(isLong ? 100 : 0)); });
             simulated_fleet &fleet = after.fleet;
             runWithChanges(fleet, after.registry, renewalTime - milliseconds(100), changeInterval, [&] {
                 for (std::size_t i = 0; i < fleet_after_outage::size; ++i) {
