--- a/review/11/main.cc
+++ b/review/11/main.cc
@@ -47,7 +47,8 @@
     std::vector<std::unique_ptr<target>> targets;
     std::vector<target *> joining;
     for (int i = 0; i < 6; ++i) {
-        targets.push_back(std::make_unique<target>("i-" + std::to_string(i), i < 2 || i == 4 ? "alpha" : "beta", i % 2 == 0 ? "zone-a" : "zone-b", 4));
+        targets.push_back(
+            std::make_unique<target>("i-" + std::to_string(i), i < 2 || i == 4 ? "alpha" : "beta", i % 2 == 0 ? "zone-a" : "zone-b", 4));
         if (!targets.back()->start(network + std::to_string(100 + i), 8080)) {
             return notRun;
         }
--- a/review/12/main.cc
+++ b/review/12/main.cc
@@ -77,8 +77,7 @@
     leaving.isLeaving = true;
     const auto revision = platformStore.put("servers/" + leaving.id, leaving.registration(true));
     const long long acknowledgedMs = nowMs();
-    record.line("target %s reports draining, acknowledged at revision %llu", leaving.id.c_str(),
-                static_cast<unsigned long long>(revision));
+    record.line("target %s reports draining, acknowledged at revision %llu", leaving.id.c_str(), static_cast<unsigned long long>(revision));
     // A calm service: its next requests come after drain_ms, four at a time at each node.
     sleepMs(drainMs + 300);
     std::vector<std::thread> clients;
--- a/review/common-3/harness.h
+++ b/review/common-3/harness.h
@@ -143,7 +143,7 @@
 
 enum class read_end { complete, closed, timedOut };
 
-/// Reads messages with a Content-Length or chunked body from a connection.
+/// Reads messages whose bodies have a Content-Length from a connection.
 class message_reader
 {
 public:
@@ -224,8 +224,8 @@
         pollfd waiting{made, POLLOUT, 0};
         int failure = 1;
         socklen_t size = sizeof failure;
-        if (errno != EINPROGRESS || ::poll(&waiting, 1, timeoutMs) != 1
-            || ::getsockopt(made, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0) {
+        if (errno != EINPROGRESS || ::poll(&waiting, 1, timeoutMs) != 1 || ::getsockopt(made, SOL_SOCKET, SO_ERROR, &failure, &size) != 0
+            || failure != 0) {
             ::close(made);
             return -1;
         }
@@ -377,6 +377,11 @@
 class store
 {
 public:
+    ~store()
+    {
+        m_server.stop(); // Its threads use the other members.
+    }
+
     bool start(const std::string &host, int port)
     {
         return m_server.start(host, port, [this](const http_message &request) { return answer(request); });
@@ -436,11 +441,6 @@
         m_server.refusesAll = false;
     }
 
-    void comeBack()
-    {
-        m_server.refusesAll = false;
-    }
-
 private:
     struct item
     {
@@ -490,7 +490,8 @@
         if (target.rfind("/api/kv-key", 0) == 0) {
             const std::string key = parameter(target, "key");
             const auto found = m_items.find(key);
-            return found == m_items.end() ? json(404, "{}") : json(200, rowOf(key, found->second) + R"(,"store_revision":)" + revision + "}");
+            return found == m_items.end() ? json(404, "{}")
+                                          : json(200, rowOf(key, found->second) + R"(,"store_revision":)" + revision + "}");
         }
         if (target.rfind("/api/kv-range", 0) == 0) {
             const std::string prefix = parameter(target, "prefix");
@@ -567,6 +568,11 @@
     {
     }
 
+    ~target()
+    {
+        m_server.stop(); // Its threads use the other members.
+    }
+
     bool start(const std::string &host, int port)
     {
         address = host + ":" + std::to_string(port);
@@ -595,7 +601,6 @@
     std::atomic<int> workMs{20};
     std::atomic<bool> isLeaving{false}; ///< Says so in all its answers.
     std::size_t answerSize = 200;
-    std::string answerFields; ///< Further header fields of successful answers.
 
 private:
     std::string answer(const http_message &request)
@@ -619,7 +624,7 @@
         }
         sleepMs(workMs);
         --m_running;
-        return answerBytes(200, echo + "Flamingofield-Response-Seal: seal-" + id + "-" + requestId + "\r\n" + answerFields, std::string(answerSize, 'a'));
+        return answerBytes(200, echo + "Flamingofield-Response-Seal: seal-" + id + "-" + requestId + "\r\n", std::string(answerSize, 'a'));
     }
 
     http_server m_server;
@@ -643,8 +648,7 @@
         for (int coldMs = 2 * heartbeatMs; coldMs >= 0; coldMs -= heartbeatMs) {
             for (const target *each : joining) {
                 record.line("target %s writes its entry, cold_remaining_ms %d, at revision %llu", each->id.c_str(), coldMs,
-                            static_cast<unsigned long long>(
-                                platformStore.put("servers/" + each->id, each->registration(false, coldMs))));
+                            static_cast<unsigned long long>(platformStore.put("servers/" + each->id, each->registration(false, coldMs))));
             }
             sleepMs(coldMs > 0 ? heartbeatMs : 200);
         }
@@ -837,8 +841,9 @@
          << values.store << "\nplatform.platform.form=read\nplatform.platform.reads_per_s=2000\nplatform.platform.history_s=20\n"
          << "platform.platform.value_bytes=1048576\nterms.bounds.seed_lag_s=3\nterms.bounds.reuse_after_s=2\n"
          << "terms.bounds.stable_window_ms=3000\nterms.bounds.acknowledge_ms=4000\nterms.bounds.catch_up_s=4\nterms.bounds.drain_ms="
-         << values.drainMs << "\nterms.bounds.grace_period_s=6\nterms.bounds.loss_slack_ms=200\nterms.bounds.configuration_apply_ms="
-         << values.applyMs << "\nterms.bounds.rollback_slack_ms=250\nterms.bounds.outer_bound_ms=5000\n"
+         << values.drainMs
+         << "\nterms.bounds.grace_period_s=6\nterms.bounds.loss_slack_ms=200\nterms.bounds.configuration_apply_ms=" << values.applyMs
+         << "\nterms.bounds.rollback_slack_ms=250\nterms.bounds.outer_bound_ms=5000\n"
          << "terms.bounds.retry_budget_ratio=0.2\nterms.bounds.budget_window_s=10\nterms.bounds.retry_budget_slack=62\n"
          << "terms.bounds.recovery_s=15\nterms.bounds.ttl_max_s=5\nterms.bounds.probes_per_s=3\nterms.bounds.floor_share=0.7\n";
     return text.str();
--- a/review/common-3/pipelining_client.h
+++ b/review/common-3/pipelining_client.h
@@ -93,7 +93,8 @@
             while (!isClosing && isOpen && sent.size() - answered < static_cast<std::size_t>(kind.requestsAhead)) {
                 const std::string id = "s-" + std::to_string(++serial);
                 sent.push_back({id, m_address, connection, nowMs(), 0, false, false});
-                isOpen = sendAll(socket, std::string("GET /notice/1 HTTP/1.1\r\nHost: ") + hostName + "\r\nFlamingofield-Request-Id: " + id
+                isOpen = sendAll(socket,
+                                 std::string("GET /notice/1 HTTP/1.1\r\nHost: ") + hostName + "\r\nFlamingofield-Request-Id: " + id
                                      + "\r\nFlamingofield-Deadline-Milliseconds: " + std::to_string(kind.deadlineMs) + "\r\n\r\n");
             }
             const auto count = ::recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
@@ -239,9 +240,10 @@
             if (hasRun && !each.isBehindClose && each.endedMs - each.sentMs < of->kind.deadlineMs) {
                 ++lost[each.node][each.connection];
             }
-            record.line("request %s at node %s, connection %d, sent at %lld ms: the connection ended %lld ms later without its whole answer; %s",
-                        each.id.c_str(), each.node.c_str(), each.connection, each.sentMs - sinceMs, each.endedMs - each.sentMs,
-                        hasRun ? "a target has run it" : "it was not passed on");
+            record.line(
+                "request %s at node %s, connection %d, sent at %lld ms: the connection ended %lld ms later without its whole answer; %s",
+                each.id.c_str(), each.node.c_str(), each.connection, each.sentMs - sinceMs, each.endedMs - each.sentMs,
+                hasRun ? "a target has run it" : "it was not passed on");
         }
     }
     record.line("%d requests answered completely, %d of them within their deadline", complete, inTime);
